--- a/packages/engine/src/task.h
+++ b/packages/engine/src/task.h
@@ -7,7 +7,7 @@
 
 #include "cs/http.h"
 #include "cs/messages.h"
-#include "sse.h"
+#include "cs/sse.h"
 
 typedef struct cs_attempt cs_attempt_t;
 typedef struct cs_poll cs_poll_t;
--- a/packages/gateway/src/exchange.c
+++ b/packages/gateway/src/exchange.c
@@ -76,7 +76,7 @@
 		cs_send (g->task, g->control, &cs_request_msg (CS_MSG_GONE, x->request)->msg);
 	x->request->connection = NULL;
 	cs_ref_put (&x->request->ref);
-	g->in_progress--;
+	g->http.in_progress--;
 }
 
 void
@@ -214,7 +214,7 @@
 	x->request = cs_exchange_request (x);
 	if (!x->request)
 		return;
-	g->in_progress++;
+	g->http.in_progress++;
 	x->phase = CS_PHASE_WAITING;
 	cs_trace_t child;
 	cs_trace_child (&child, &x->span);
@@ -243,5 +243,5 @@
 		return;
 	x->suspended = false;
 	MHD_resume_connection (x->connection);
-	cs_gateway_serve_soon (x->gateway);
+	cs_httpd_serve_soon (&x->gateway->http);
 }
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -2,8 +2,7 @@
 #ifndef CS_GATEWAY_EXCHANGE_H
 #define CS_GATEWAY_EXCHANGE_H
 
-#include <microhttpd.h>
-
+#include "cs/httpd.h"
 #include "cs/messages.h"
 #include "cs/settings.h"
 #include "path.h"
@@ -17,13 +16,8 @@
 	cs_task_t *control;
 	cs_task_t *engine;
 	const cs_settings_t *settings;
-	struct MHD_Daemon *server;
-	ev_io readable;
-	ev_timer timer;
-	ev_tstamp served; /* when the server ran last */
-	bool serve_soon;  /* the timer is set for resumed connections */
+	cs_httpd_t http; /* in_progress: admitted and not yet ended */
 	cs_exchange_t *exchanges;
-	size_t in_progress; /* admitted and not yet ended */
 	uint64_t next_id;
 	bool ready;
 	bool draining;
@@ -74,9 +68,6 @@
 	cs_exchange_t *prev, *next;
 };
 
-/* Has the server run for connections that were resumed. */
-void cs_gateway_serve_soon (cs_gateway_t *g);
-
 cs_exchange_t *cs_exchange_new (cs_gateway_t *g, struct MHD_Connection *connection,
 				const char *target);
 /* Counts, tells control if the caller left early, and frees. */
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -1,7 +1,6 @@
 /* libmicrohttpd's server on the kernel's loop. */
 #include "cs/gateway.h"
 
-#include <netdb.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -12,65 +11,18 @@
 #include "exchange.h"
 
 enum {
-	SLOW_CALLER_S = 60, /* a connection on which nothing moves for so long is cut */
-	TURN_US_PER_REQUEST = 1,
-	MAX_TURN_US = 2000,
+	SLOW_CALLER_S = 60,     /* a connection on which nothing moves for so long is cut */
 	POOL_EXTRA_BYTES = 4096 /* of a connection's memory, besides the request's head */
 };
 
-/* Runs the server until nothing is pending, and sets the timer for its next turn. */
 static void
-serve (cs_gateway_t *g)
+after_turn (void *data)
 {
-	struct ev_loop *loop = g->task->kernel->loop;
-	MHD_UNSIGNED_LONG_LONG ms;
-	ev_timer_stop (loop, &g->timer);
-	g->serve_soon = false;
-	g->served = ev_now (loop);
-	MHD_run (g->server);
-	if (MHD_get_timeout (g->server, &ms) == MHD_YES && (!ms || !g->serve_soon)) {
-		ev_timer_stop (loop, &g->timer);
-		ev_timer_set (&g->timer, (double)ms / 1000., 0.);
-		ev_timer_start (loop, &g->timer);
-	}
-	if (g->draining && !g->drained && !g->in_progress) {
-		g->drained = true;
-		cs_send (g->task, g->control, &cs_request_msg (CS_MSG_DRAINED, NULL)->msg);
-	}
-}
-
-/* Nothing wakes the server of an external loop when a connection resumes. Each of its
- * turns looks at every suspended connection, so that the least time between turns grows
- * with the requests in progress, and resumptions share turns. */
-void
-cs_gateway_serve_soon (cs_gateway_t *g)
-{
-	struct ev_loop *loop = g->task->kernel->loop;
-	if (g->serve_soon)
+	cs_gateway_t *g = data;
+	if (!g->draining || g->drained || g->http.in_progress)
 		return;
-	g->serve_soon = true;
-	size_t us = g->in_progress * TURN_US_PER_REQUEST;
-	ev_tstamp turn = (double)(us < MAX_TURN_US ? us : MAX_TURN_US) / 1e6;
-	ev_tstamp wait = g->served + turn - ev_now (loop);
-	ev_timer_stop (loop, &g->timer);
-	ev_timer_set (&g->timer, wait > 0. ? wait : 0., 0.);
-	ev_timer_start (loop, &g->timer);
-}
-
-static void
-on_readable (struct ev_loop *loop, ev_io *w, int events)
-{
-	(void)loop;
-	(void)events;
-	serve (w->data);
-}
-
-static void
-on_timer (struct ev_loop *loop, ev_timer *w, int events)
-{
-	(void)loop;
-	(void)events;
-	serve (w->data);
+	g->drained = true;
+	cs_send (g->task, g->control, &cs_request_msg (CS_MSG_DRAINED, NULL)->msg);
 }
 
 static void *
@@ -176,40 +128,23 @@
 	cs_log ("gateway", CS_LOG_DEBUG, "%s", text);
 }
 
-/* Resolves IP:PORT or [IP]:PORT, without name services. */
-static struct addrinfo *
-listen_address (const char *listen)
-{
-	struct addrinfo hints = {.ai_flags = AI_NUMERICHOST | AI_NUMERICSERV | AI_PASSIVE,
-				 .ai_socktype = SOCK_STREAM};
-	struct addrinfo *found = NULL;
-	const char *colon = strrchr (listen, ':');
-	if (!colon)
-		return NULL;
-	cs_str_t host = cs_str_n (listen, (size_t)(colon - listen));
-	if (host.n > 1 && host.p[0] == '[')
-		host = cs_str_n (host.p + 1, host.n - 2);
-	char *name = cs_str_dup (host);
-	if (getaddrinfo (name, colon + 1, &hints, &found))
-		found = NULL;
-	free (name);
-	return found;
-}
-
-static struct MHD_Daemon *
-start_server (cs_gateway_t *g, const struct addrinfo *address)
+static cs_status_t
+start_server (cs_gateway_t *g)
 {
 	const cs_settings_t *s = g->settings;
 	size_t pool = (size_t)s->max_header_bytes + POOL_EXTRA_BYTES;
-	unsigned flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG;
-	if (address->ai_family == AF_INET6)
-		flags |= MHD_USE_IPv6;
-	return MHD_start_daemon (
-		flags, 0, NULL, NULL, on_request, g, MHD_OPTION_EXTERNAL_LOGGER, on_log, g,
-		MHD_OPTION_SOCK_ADDR, address->ai_addr, MHD_OPTION_URI_LOG_CALLBACK, on_target, g,
-		MHD_OPTION_NOTIFY_COMPLETED, on_completed, g, MHD_OPTION_CONNECTION_LIMIT,
-		(unsigned)s->max_connections, MHD_OPTION_CONNECTION_TIMEOUT,
-		(unsigned)SLOW_CALLER_S, MHD_OPTION_CONNECTION_MEMORY_LIMIT, pool, MHD_OPTION_END);
+	struct MHD_OptionItem options[] = {
+		{MHD_OPTION_EXTERNAL_LOGGER, (intptr_t)on_log, g},
+		{MHD_OPTION_URI_LOG_CALLBACK, (intptr_t)on_target, g},
+		{MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)on_completed, g},
+		{MHD_OPTION_CONNECTION_LIMIT, (intptr_t)s->max_connections, NULL},
+		{MHD_OPTION_CONNECTION_TIMEOUT, SLOW_CALLER_S, NULL},
+		{MHD_OPTION_CONNECTION_MEMORY_LIMIT, (intptr_t)pool, NULL},
+		{MHD_OPTION_END, 0, NULL},
+	};
+	g->http.data = g;
+	g->http.after_turn = after_turn;
+	return cs_httpd_start (&g->http, g->task->kernel->loop, s->listen, on_request, options);
 }
 
 static cs_status_t
@@ -221,20 +156,7 @@
 	if (sodium_init () < 0)
 		return cs_fail (CS_INTERNAL, "libsodium cannot be started");
 	randombytes_buf (&g->next_id, sizeof g->next_id);
-	struct addrinfo *address = listen_address (g->settings->listen);
-	if (!address)
-		return cs_fail (CS_INVALID, "listen \"%s\" is not IP:PORT", g->settings->listen);
-	g->server = start_server (g, address);
-	freeaddrinfo (address);
-	if (!g->server)
-		return cs_fail (CS_UNAVAILABLE, "cannot listen on %s", g->settings->listen);
-	int fd = MHD_get_daemon_info (g->server, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
-	ev_io_init (&g->readable, on_readable, fd, EV_READ);
-	g->readable.data = g;
-	ev_io_start (task->kernel->loop, &g->readable);
-	ev_init (&g->timer, on_timer);
-	g->timer.data = g;
-	return CS_OK;
+	return start_server (g);
 }
 
 static void
@@ -259,7 +181,7 @@
 		break;
 	case CS_MSG_DRAIN:
 		g->draining = true;
-		serve (g);
+		cs_httpd_serve (&g->http);
 		break;
 	case CS_MSG_HEAD:
 	case CS_MSG_BODY:
@@ -278,24 +200,21 @@
 finish (cs_task_t *task)
 {
 	cs_gateway_t *g = task->state;
-	if (!g->server)
+	if (!g->http.server)
 		return;
 	/* The server cannot be stopped while connections are suspended. */
 	for (cs_exchange_t *x = g->exchanges; x; x = x->next) {
 		x->gone = true;
 		cs_exchange_resume (x);
 	}
-	ev_io_stop (task->kernel->loop, &g->readable);
-	ev_timer_stop (task->kernel->loop, &g->timer);
-	MHD_stop_daemon (g->server);
-	g->server = NULL;
+	cs_httpd_stop (&g->http);
 }
 
 uint16_t
 cs_gateway_port (const cs_task_t *task)
 {
 	const cs_gateway_t *g = task->state;
-	return MHD_get_daemon_info (g->server, MHD_DAEMON_INFO_BIND_PORT)->port;
+	return MHD_get_daemon_info (g->http.server, MHD_DAEMON_INFO_BIND_PORT)->port;
 }
 
 cs_plugin_t cs_gateway_plugin = {
--- a/packages/engine/src/sse.h
+++ b/packages/http/include/cs/sse.h
@@ -1,8 +1,8 @@
 /* Splits a stream of server-sent events at event boundaries. Bytes of an event that
  * isn't whole are held back, so that what has been passed on always ends at a
  * boundary. Lines end with LF or CRLF; the number of "id:" is the token's position. */
-#ifndef CS_ENGINE_SSE_H
-#define CS_ENGINE_SSE_H
+#ifndef CS_SSE_H
+#define CS_SSE_H
 
 #include "cs/status.h"
 #include "cs/str.h"
--- a/packages/engine/src/sse.c
+++ b/packages/http/src/sse.c
@@ -1,4 +1,4 @@
-#include "sse.h"
+#include "cs/sse.h"
 
 #include <string.h>
 
--- a/packages/engine/tests/test_sse.c
+++ b/packages/http/tests/test_sse.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #include "cs_test.h"
-#include "sse.h"
+#include "cs/sse.h"
 
 static const struct {
 	const char *stream;
--- /dev/null
+++ b/packages/httpd/include/cs/httpd.h
@@ -0,0 +1,35 @@
+/* libmicrohttpd's server on the kernel's loop. */
+#ifndef CS_HTTPD_H
+#define CS_HTTPD_H
+
+#include <ev.h>
+#include <microhttpd.h>
+#include <stdbool.h>
+#include <stddef.h>
+
+#include "cs/status.h"
+
+typedef struct {
+	struct ev_loop *loop;
+	struct MHD_Daemon *server; /* NULL until it has been started */
+	ev_io readable;
+	ev_timer timer;
+	ev_tstamp served;   /* when the server ran last */
+	bool serve_soon;    /* the timer is set for resumed connections */
+	size_t in_progress; /* suspended or answering; kept by the owner */
+	/* Called after each turn of the server; may be NULL. */
+	void (*after_turn) (void *data);
+	void *data; /* of after_turn and of the server's request handler */
+} cs_httpd_t;
+
+/* Listens on IP:PORT and answers with the handler. The options of libmicrohttpd end with
+ * MHD_OPTION_END; those for the address and suspension are set here. */
+cs_status_t cs_httpd_start (cs_httpd_t *h, struct ev_loop *loop, const char *listen,
+			    MHD_AccessHandlerCallback handler, struct MHD_OptionItem *options);
+void cs_httpd_stop (cs_httpd_t *h);
+/* Runs the server now. */
+void cs_httpd_serve (cs_httpd_t *h);
+/* Has the server run soon, for connections that were resumed. */
+void cs_httpd_serve_soon (cs_httpd_t *h);
+
+#endif
--- /dev/null
+++ b/packages/httpd/src/httpd.c
@@ -0,0 +1,120 @@
+#include "cs/httpd.h"
+
+#include <netdb.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cs/str.h"
+
+enum {
+	TURN_US_PER_REQUEST = 1,
+	MAX_TURN_US = 2000
+};
+
+/* Runs the server until nothing is pending, and sets the timer for its next turn. */
+void
+cs_httpd_serve (cs_httpd_t *h)
+{
+	MHD_UNSIGNED_LONG_LONG ms;
+	ev_timer_stop (h->loop, &h->timer);
+	h->serve_soon = false;
+	h->served = ev_now (h->loop);
+	MHD_run (h->server);
+	if (MHD_get_timeout (h->server, &ms) == MHD_YES && (!ms || !h->serve_soon)) {
+		ev_timer_stop (h->loop, &h->timer);
+		ev_timer_set (&h->timer, (double)ms / 1000., 0.);
+		ev_timer_start (h->loop, &h->timer);
+	}
+	if (h->after_turn)
+		h->after_turn (h->data);
+}
+
+/* Nothing wakes the server of an external loop when a connection resumes. Each of its
+ * turns looks at every suspended connection, so that the least time between turns grows
+ * with the requests in progress, and resumptions share turns. */
+void
+cs_httpd_serve_soon (cs_httpd_t *h)
+{
+	if (h->serve_soon)
+		return;
+	h->serve_soon = true;
+	size_t us = h->in_progress * TURN_US_PER_REQUEST;
+	ev_tstamp turn = (double)(us < MAX_TURN_US ? us : MAX_TURN_US) / 1e6;
+	ev_tstamp wait = h->served + turn - ev_now (h->loop);
+	ev_timer_stop (h->loop, &h->timer);
+	ev_timer_set (&h->timer, wait > 0. ? wait : 0., 0.);
+	ev_timer_start (h->loop, &h->timer);
+}
+
+static void
+on_readable (struct ev_loop *loop, ev_io *w, int events)
+{
+	(void)loop;
+	(void)events;
+	cs_httpd_serve (w->data);
+}
+
+static void
+on_timer (struct ev_loop *loop, ev_timer *w, int events)
+{
+	(void)loop;
+	(void)events;
+	cs_httpd_serve (w->data);
+}
+
+/* Resolves IP:PORT or [IP]:PORT, without name services. */
+static struct addrinfo *
+listen_address (const char *listen)
+{
+	struct addrinfo hints = {.ai_flags = AI_NUMERICHOST | AI_NUMERICSERV | AI_PASSIVE,
+				 .ai_socktype = SOCK_STREAM};
+	struct addrinfo *found = NULL;
+	const char *colon = strrchr (listen, ':');
+	if (!colon)
+		return NULL;
+	cs_str_t host = cs_str_n (listen, (size_t)(colon - listen));
+	if (host.n > 1 && host.p[0] == '[')
+		host = cs_str_n (host.p + 1, host.n - 2);
+	char *name = cs_str_dup (host);
+	if (getaddrinfo (name, colon + 1, &hints, &found))
+		found = NULL;
+	free (name);
+	return found;
+}
+
+cs_status_t
+cs_httpd_start (cs_httpd_t *h, struct ev_loop *loop, const char *listen,
+		MHD_AccessHandlerCallback handler, struct MHD_OptionItem *options)
+{
+	unsigned flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG;
+	struct addrinfo *address = listen_address (listen);
+	if (!address)
+		return cs_fail (CS_INVALID, "listen \"%s\" is not IP:PORT", listen);
+	if (address->ai_family == AF_INET6)
+		flags |= MHD_USE_IPv6;
+	h->loop = loop;
+	h->server =
+		MHD_start_daemon (flags, 0, NULL, NULL, handler, h->data, MHD_OPTION_ARRAY, options,
+				  MHD_OPTION_SOCK_ADDR, address->ai_addr, MHD_OPTION_END);
+	freeaddrinfo (address);
+	if (!h->server)
+		return cs_fail (CS_UNAVAILABLE, "cannot listen on %s", listen);
+	int fd = MHD_get_daemon_info (h->server, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
+	ev_io_init (&h->readable, on_readable, fd, EV_READ);
+	h->readable.data = h;
+	ev_io_start (loop, &h->readable);
+	ev_init (&h->timer, on_timer);
+	h->timer.data = h;
+	return CS_OK;
+}
+
+void
+cs_httpd_stop (cs_httpd_t *h)
+{
+	if (!h->server)
+		return;
+	ev_io_stop (h->loop, &h->readable);
+	ev_timer_stop (h->loop, &h->timer);
+	MHD_stop_daemon (h->server);
+	h->server = NULL;
+}
