--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -4,9 +4,11 @@
 #
 # tests/without.txt lists "PROGRAM MECHANISM" pairs: the program must fail when the
 # mechanism is turned off, which shows that the test can fail.
-add_library (cs_testing STATIC testing/cs_options.c)
-target_include_directories (cs_testing PUBLIC testing)
-target_link_libraries (cs_testing PUBLIC PkgConfig::CMOCKA)
+if (NOT CS_DAEMON_ONLY)
+	add_library (cs_testing STATIC testing/cs_options.c)
+	target_include_directories (cs_testing PUBLIC testing)
+	target_link_libraries (cs_testing PUBLIC PkgConfig::CMOCKA)
+endif ()
 
 function (cs_package name)
 	file (GLOB sources CONFIGURE_DEPENDS src/*.c src/*.cc)
@@ -21,6 +23,9 @@
 		target_include_directories (cs_${name} INTERFACE include)
 		target_link_libraries (cs_${name} INTERFACE ${ARGN})
 	endif ()
+	if (CS_DAEMON_ONLY)
+		return ()
+	endif ()
 	foreach (t ${tests})
 		get_filename_component (base ${t} NAME_WE)
 		add_executable (${name}_${base} ${t} ${helpers})
--- a/packages/daemon/main/cornelspindled.c
+++ b/packages/daemon/main/cornelspindled.c
@@ -5,11 +5,13 @@
 #include <sodium.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "cs/kernel.h"
 #include "cs/log.h"
 #include "cs/settings.h"
 #include "cs/trace.h"
+#include "hosted.h"
 
 enum {
 	EXIT_USAGE = 2
@@ -17,10 +19,13 @@
 
 static const char usage[] =
 	"usage: cornelspindled [--check] FILE\n"
+	"       cornelspindled --hosted [--check]\n"
 	"\n"
-	"Serves callers and operators with the settings in FILE (TOML).\n"
+	"Serves callers and operators with the settings in FILE (TOML), or on a platform that\n"
+	"places the settings itself.\n"
 	"\n"
 	"  -c, --check    only check the settings; print every fault with its place\n"
+	"  -H, --hosted   run behind the platform adapter, with the settings that it finds\n"
 	"  -h, --help     print this text\n"
 	"  -V, --version  print the version\n"
 	"\n"
@@ -63,7 +68,7 @@
 	signal (SIGPIPE, SIG_IGN);
 	cs_kernel_init (&kernel, s);
 	cs_trace_sample (s->trace_percent);
-	if (cs_log_init (s->name, level_of (s->log_level)) != CS_OK ||
+	if (cs_log_init (s->name, level_of (s->log_level), STDERR_FILENO) != CS_OK ||
 	    cs_trace_open (s->trace_file, "cornelspindled", s->name) != CS_OK ||
 	    cs_kernel_start (&kernel) != CS_OK) {
 		fprintf (stderr, "cornelspindled: %s\n", cs_last_message ());
@@ -84,17 +89,22 @@
 {
 	static const struct option longs[] = {
 		{"check", no_argument, NULL, 'c'},
+		{"hosted", no_argument, NULL, 'H'},
 		{"help", no_argument, NULL, 'h'},
 		{"version", no_argument, NULL, 'V'},
 		{NULL, 0, NULL, 0},
 	};
 	bool check = false;
+	bool hosted = false;
 	int o;
-	while ((o = getopt_long (argc, argv, "chV", longs, NULL)) != -1) {
+	while ((o = getopt_long (argc, argv, "cHhV", longs, NULL)) != -1) {
 		switch (o) {
 		case 'c':
 			check = true;
 			break;
+		case 'H':
+			hosted = true;
+			break;
 		case 'h':
 			fputs (usage, stdout);
 			return 0;
@@ -105,7 +115,9 @@
 			return EXIT_USAGE;
 		}
 	}
-	if (optind + 1 != argc) {
+	if (hosted && optind == argc)
+		return cs_hosted_main (check);
+	if (hosted || optind + 1 != argc) {
 		fputs (usage, stderr);
 		return EXIT_USAGE;
 	}
--- /dev/null
+++ b/packages/daemon/main/hosted.c
@@ -0,0 +1,135 @@
+#include "hosted.h"
+
+#include <curl/curl.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "cs/host_messages.h"
+#include "cs/kernel.h"
+#include "cs/log.h"
+#include "cs/platform.h"
+
+typedef struct {
+	cs_kernel_t kernel;
+	ev_signal terminate;
+	ev_signal interrupt;
+	ev_signal reload;
+} hosted_t;
+
+static bool
+load (cs_host_t *h, const char *path, cs_buf_t *faults)
+{
+	cs_findings_t findings;
+	cs_findings_init (&findings);
+	cs_status_t status = cs_platform_settings_load (h, path, &findings);
+	cs_findings_print (&findings, faults);
+	cs_findings_finish (&findings);
+	return status == CS_OK;
+}
+
+static void
+on_stop (struct ev_loop *loop, ev_signal *w, int events)
+{
+	hosted_t *d = w->data;
+	(void)loop;
+	(void)events;
+	cs_log_event ("daemon", "stopping", "signal=%d", w->signum);
+	for (cs_task_t *t = d->kernel.tasks; t; t = t->next)
+		cs_send (NULL, t, cs_msg_new (sizeof (cs_msg_t), CS_HOST_STOP, cs_msg_free));
+}
+
+/* Addresses and bounds hold for the life of a process: what changed is only reported. */
+static void
+on_reload (struct ev_loop *loop, ev_signal *w, int events)
+{
+	hosted_t *d = w->data;
+	const cs_host_t *now = d->kernel.settings;
+	cs_host_t next;
+	cs_buf_t faults;
+	(void)loop;
+	(void)events;
+	cs_buf_init (&faults);
+	bool sound = load (&next, cs_platform_settings_path (), &faults);
+	bool same = sound && !strcmp (now->store_address, next.store_address) &&
+		    !strcmp (now->listen_callers, next.listen_callers);
+	cs_log_event ("daemon", "reloaded", "sound=%d addresses_same=%d faults=\"%.200s\"", sound,
+		      same, faults.p ? faults.p : "");
+	cs_platform_settings_finish (&next);
+	cs_buf_finish (&faults);
+}
+
+static void
+watch_signal (hosted_t *d, ev_signal *w, int signal,
+	      void (*cb) (struct ev_loop *, ev_signal *, int))
+{
+	ev_signal_init (w, cb, signal);
+	w->data = d;
+	ev_signal_start (d->kernel.loop, w);
+}
+
+/* The log must never hold a request up. */
+static void
+unblock (int fd)
+{
+	int flags = fcntl (fd, F_GETFL);
+	if (flags < 0 || fcntl (fd, F_SETFL, flags | O_NONBLOCK) < 0)
+		fprintf (stderr, "cornelspindled: the log may block: %s\n", strerror (errno));
+}
+
+static int
+serve (const cs_host_t *h)
+{
+	hosted_t d;
+	int result = 0;
+	if (sodium_init () < 0 || curl_global_init (CURL_GLOBAL_NOTHING))
+		return 1;
+	signal (SIGPIPE, SIG_IGN);
+	unblock (STDOUT_FILENO);
+	cs_kernel_init (&d.kernel, h);
+	d.kernel.profile = CS_PROFILE_HOSTED;
+	watch_signal (&d, &d.terminate, SIGTERM, on_stop);
+	watch_signal (&d, &d.interrupt, SIGINT, on_stop);
+	watch_signal (&d, &d.reload, SIGHUP, on_reload);
+	if (cs_log_init (h->name, CS_LOG_INFO, STDOUT_FILENO) != CS_OK ||
+	    cs_kernel_start (&d.kernel) != CS_OK) {
+		fprintf (stderr, "cornelspindled: %s\n", cs_last_message ());
+		result = 1;
+	} else {
+		cs_log_event ("daemon", "started", "version=%s zone=%s callers=%s store=%s",
+			      CS_VERSION, h->zone, h->listen_callers, h->store_address);
+		cs_kernel_run (&d.kernel);
+	}
+	cs_kernel_finish (&d.kernel);
+	cs_log_finish ();
+	curl_global_cleanup ();
+	return result;
+}
+
+int
+cs_hosted_main (bool check)
+{
+	const char *path = cs_platform_settings_path ();
+	cs_host_t host;
+	cs_buf_t faults;
+	if (!path) {
+		fputs ("cornelspindled: the platform names no settings file\n", stderr);
+		return 1;
+	}
+	cs_buf_init (&faults);
+	bool sound = load (&host, path, &faults);
+	if (faults.n)
+		fputs (faults.p, stderr);
+	cs_buf_finish (&faults);
+	int result = sound ? 0 : 1;
+	if (sound && check)
+		printf ("%s: sound\n", path);
+	else if (sound)
+		result = serve (&host);
+	cs_platform_settings_finish (&host);
+	return result;
+}
--- /dev/null
+++ b/packages/decide/include/cs/formation.h
@@ -0,0 +1,108 @@
+/* Planner of the groups of a hosted platform: back ends join groups by orders, and the
+ * head of a group is opened and closed.
+ *
+ * A Form record in the ledger assigns members; its offset gives the epoch, so that epochs
+ * rise and two planners that append on the same end cannot both succeed. Joins carry the
+ * epoch, and a back end refuses one below any that it has seen. Rules:
+ *
+ * - A head is opened only when every member has reported itself ready under this name and
+ *   epoch. Once it may be open, a member that no longer does makes the group lost.
+ * - Members of a group that may be open are taken for another one only after its head has
+ *   reported that it is closed or broken, has moved to a later epoch, has ended, or has
+ *   been unlisted and silent for HEAD_GONE_MS. While an open order is unanswered, which may
+ *   be carried out up to ORDER_LATE_MS later, only moving the head counts.
+ * - A planner knows nothing by itself that the ledger and the reports don't say; one that
+ *   takes over assumes that orders of its predecessor are still on their way.
+ *
+ * Load: one model load takes 12 to 16 s, a join with weights at hand 0.2 to 1.6 s, and a
+ * member is lost every few seconds. So repairs take survivors and staged back ends of the
+ * same domain first, and idle ones stage the weights that most members need. */
+#ifndef CS_FORMATION_H
+#define CS_FORMATION_H
+
+#include "cs/fleet.h"
+#include "cs/serving.h"
+
+enum {
+	CS_FORMATION_ORDER_LATE_MS = 12500, /* the platform: an order may take effect 12 s late */
+	CS_FORMATION_HEAD_GONE_MS = 8000    /* a stall (4 s) and the list's lag (3.6 s) */
+};
+
+/* A group as the ledger or its members' reports define it. */
+typedef struct cs_band {
+	uint64_t epoch;
+	char *name;
+	char *service;
+	char *model;
+	char **members; /* the first is the head */
+	size_t n;
+	bool opened;          /* an open order was sent, or the head was seen open */
+	bool lost;            /* a member is missing, or the head is broken */
+	bool released;        /* its members may be taken */
+	int64_t made_ms;      /* when this planner learned of it */
+	int64_t opened_ms;    /* when the last open order was sent; 0: never */
+	bool open_unanswered; /* that order may still be on its way */
+	int64_t closed_ms;    /* when the last close order was sent; 0: never */
+	int64_t closing_since_ms;
+	int64_t head_missing_ms; /* since when the head is unlisted; 0: listed */
+	int64_t probed_ms;
+	bool head_ended;    /* nothing of it runs at its address any more */
+	int64_t *joined_ms; /* by member: when the last join order was sent; 0: never */
+	UT_hash_handle hh;
+} cs_band_t;
+
+typedef enum {
+	CS_FORM_APPEND, /* a Form record */
+	CS_FORM_JOIN,
+	CS_FORM_OPEN,
+	CS_FORM_CLOSE,
+	CS_FORM_STAGE,
+	CS_FORM_PROBE /* ask for the report of a head that is unlisted */
+} cs_form_kind_t;
+
+/* One action; its pointers are valid until the next call on the formation or the fleet. */
+typedef struct {
+	cs_form_kind_t kind;
+	const cs_band_t *band; /* NULL: STAGE */
+	const char *id;        /* of the back end; NULL: APPEND */
+	const char *address;
+	const char *model;  /* JOIN and STAGE */
+	bool cut;           /* CLOSE: end the requests in progress */
+	const char *reason; /* static text for the log */
+} cs_form_action_t;
+
+typedef struct cs_assignment cs_assignment_t;
+
+typedef struct {
+	cs_band_t *bands;             /* uthash by epoch */
+	cs_assignment_t *assignments; /* uthash by back end */
+	cs_band_t **proposed;         /* bands of the plan's APPEND actions */
+	size_t n_proposed;
+	int64_t started_ms; /* when this daemon began to plan */
+	int64_t loads_ms;   /* when load_tokens was brought up to date */
+	double load_tokens; /* loads that may begin */
+	cs_form_action_t *actions;
+	size_t n_actions;
+	size_t cap_actions;
+} cs_formation_t;
+
+void cs_formation_init (cs_formation_t *f);
+void cs_formation_finish (cs_formation_t *f);
+/* Begins to plan: forgets all, as nothing is known of the orders of others. */
+void cs_formation_begin (cs_formation_t *f, int64_t now_ms);
+/* Takes in a Form record: the members belong to this group from now on. */
+void cs_formation_fold (cs_formation_t *f, int64_t now_ms, uint64_t epoch, const char *name,
+			const char *service, const char *model, const char *const *members,
+			size_t n);
+/* Fills f->actions with what is due. The caller sends the orders, appends the records on
+ * the ledger's end, and folds what it then reads there. */
+void cs_formation_plan (cs_formation_t *f, int64_t now_ms, const cs_fleet_t *fleet,
+			const cs_serving_t *serving);
+/* Where the back end was listed last; NULL: not known. */
+const char *cs_formation_address (const cs_formation_t *f, const char *id);
+/* An open order was answered; one that was refused had no effect. */
+void cs_formation_opened (cs_formation_t *f, uint64_t epoch, bool accepted);
+/* What a probe of an unlisted head showed: that nothing of it runs, or that it lives. */
+void cs_formation_probed (cs_formation_t *f, uint64_t epoch, bool ended, cs_member_state_t state);
+
+#endif
--- /dev/null
+++ b/packages/decide/include/cs/serving.h
@@ -0,0 +1,109 @@
+/* What an operator has put in force on a hosted platform: routes, services with the models
+ * of their engines, teams with their keys, and the limits of callers' requests. One version
+ * is made by the adapter, shared by reference and never changed. */
+#ifndef CS_SERVING_H
+#define CS_SERVING_H
+
+#include <stdbool.h>
+#include <uthash.h>
+
+#include "cs/ref.h"
+#include "cs/rng.h"
+#include "cs/str.h"
+
+typedef enum {
+	CS_KIND_IDEMPOTENT,     /* may run more than once */
+	CS_KIND_NON_IDEMPOTENT, /* at most once for each request id */
+	CS_KIND_STREAM          /* server-sent events; idempotent where it is resumable */
+} cs_kind_t;
+
+typedef struct {
+	char *service;
+	uint32_t weight;
+} cs_split_t;
+
+typedef struct {
+	char *name;
+	char *host;
+	char *prefix; /* begins and ends with a slash */
+	cs_kind_t kind;
+	uint32_t timeout_ms; /* 0: none */
+	uint32_t target_ms;  /* latency objective: whole answer, or first event of a stream */
+	uint32_t gap_ms;     /* longest pause between events that is still on time; 0: none */
+	uint32_t attempts;   /* most back ends that may run one request */
+	uint32_t priority;   /* 0 is the most urgent */
+	bool is_public;      /* no key is needed */
+	bool resumable;      /* a stream can go on at another back end */
+	cs_split_t *splits;  /* services by weight; one at least */
+	size_t n_splits;
+} cs_serving_route_t;
+
+/* A model that back ends of a service run in groups. */
+typedef struct {
+	char *name;
+	uint32_t group_size;
+	double share; /* of the service's work at the start */
+	double pace;  /* factor of all of a group's times */
+	uint32_t load_ms;
+	uint32_t warm_ms; /* time to join with weights that are on the host */
+} cs_serving_model_t;
+
+typedef struct {
+	char *name;
+	uint32_t connection_limit; /* of one back end, all callers together */
+	uint32_t slots;            /* of one group; 0: no engine */
+	double loads_per_s;        /* loads from the weight store that may begin */
+	uint32_t loads_at_once;    /* more of them share the weight store's rate */
+	cs_serving_model_t *models;
+	size_t n_models;
+} cs_serving_service_t;
+
+typedef struct {
+	char *name;
+	int priority; /* goes before the route's; -1: none */
+} cs_team_t;
+
+typedef struct {
+	char *key;
+	size_t team; /* index into teams */
+	UT_hash_handle hh;
+} cs_team_key_t;
+
+typedef struct {
+	cs_ref_t ref;
+	uint64_t version;
+	int64_t read_ms; /* when this daemon read it */
+	cs_serving_route_t *routes;
+	size_t n_routes;
+	cs_serving_service_t *services;
+	size_t n_services;
+	cs_team_t *teams;
+	size_t n_teams;
+	cs_team_key_t *keys;
+	uint32_t max_header_bytes;
+	uint32_t max_body_bytes;
+	uint32_t idle_ms; /* callers reuse connections that were idle for less */
+} cs_serving_t;
+
+cs_serving_t *cs_serving_new (void);
+/* Adds a zeroed element; pointers to earlier ones of the same kind end. */
+cs_serving_route_t *cs_serving_add_route (cs_serving_t *s);
+cs_serving_service_t *cs_serving_add_service (cs_serving_t *s);
+cs_serving_model_t *cs_serving_add_model (cs_serving_service_t *service);
+/* Adds a team and returns its index. */
+size_t cs_serving_add_team (cs_serving_t *s, const char *name, int priority);
+/* A key that was given to two teams stays with the first. */
+void cs_serving_add_key (cs_serving_t *s, const char *key, size_t team);
+
+/* The route of the host with the longest prefix that begins the path; NULL: none. */
+const cs_serving_route_t *cs_serving_match (const cs_serving_t *s, cs_str_t host, cs_str_t path);
+/* The key's team; NULL: nobody holds it. */
+const cs_team_t *cs_serving_team (const cs_serving_t *s, cs_str_t key);
+/* A service of the route, drawn by weight. */
+const char *cs_serving_draw (const cs_serving_route_t *route, cs_rng_t *rng);
+const cs_serving_service_t *cs_serving_service (const cs_serving_t *s, const char *name);
+const cs_serving_model_t *cs_serving_model (const cs_serving_service_t *service, const char *name);
+/* True if a failed attempt that may have run may be followed by another. */
+bool cs_serving_repeatable (const cs_serving_route_t *route);
+
+#endif
--- /dev/null
+++ b/packages/decide/src/fleet.c
@@ -0,0 +1,171 @@
+#include "cs/fleet.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static void
+drop (cs_ref_t *ref)
+{
+	cs_backend_t *b = (cs_backend_t *)ref;
+	free (b->id);
+	free (b->service);
+	free (b->address);
+	free (b->zone);
+	free (b->domain);
+	free (b->model);
+	free (b->staged);
+	free (b->group);
+	free (b);
+}
+
+cs_backend_t *
+cs_backend_new (void)
+{
+	cs_backend_t *b = cs_alloc (sizeof *b);
+	cs_ref_init (&b->ref, drop);
+	return b;
+}
+
+bool
+cs_backend_same (const cs_backend_t *a, const cs_backend_t *b)
+{
+	return a->born == b->born && a->draining == b->draining && a->slots == b->slots &&
+	       a->epoch == b->epoch && a->rank == b->rank && a->state == b->state &&
+	       !strcmp (a->service, b->service) && !strcmp (a->address, b->address) &&
+	       !strcmp (a->zone, b->zone) && !strcmp (a->domain, b->domain) &&
+	       !strcmp (a->model, b->model) && !strcmp (a->staged, b->staged) &&
+	       !strcmp (a->group, b->group);
+}
+
+const char *
+cs_member_state_name (cs_member_state_t state)
+{
+	static const char *const names[] = {
+		[CS_MEMBER_NONE] = "none",       [CS_MEMBER_JOINING] = "joining",
+		[CS_MEMBER_READY] = "ready",     [CS_MEMBER_OPEN] = "open",
+		[CS_MEMBER_CLOSING] = "closing", [CS_MEMBER_BROKEN] = "broken",
+	};
+	return names[state];
+}
+
+void
+cs_fleet_init (cs_fleet_t *f)
+{
+	memset (f, 0, sizeof *f);
+}
+
+static void
+discard (cs_fleet_t *f, cs_fleet_entry_t *e)
+{
+	HASH_DEL (f->entries, e);
+	cs_ref_put (&e->now->ref);
+	free (e);
+}
+
+void
+cs_fleet_finish (cs_fleet_t *f)
+{
+	cs_fleet_entry_t *e, *next;
+	HASH_ITER (hh, f->entries, e, next)
+	discard (f, e);
+}
+
+bool
+cs_fleet_set (cs_fleet_t *f, int64_t now_ms, cs_backend_t *b)
+{
+	cs_fleet_entry_t *e;
+	HASH_FIND_STR (f->entries, b->id, e);
+	bool same = e && !e->lapsed_ms && cs_backend_same (e->now, b);
+	if (e) {
+		/* The entry's key is a string of its back end. */
+		HASH_DEL (f->entries, e);
+		cs_ref_put (&e->now->ref);
+	} else {
+		e = cs_alloc (sizeof *e);
+	}
+	e->now = b;
+	e->said_ms = now_ms;
+	e->lapsed_ms = 0;
+	HASH_ADD_KEYPTR (hh, f->entries, b->id, strlen (b->id), e);
+	return !same;
+}
+
+bool
+cs_fleet_remove (cs_fleet_t *f, int64_t now_ms, const char *id)
+{
+	cs_fleet_entry_t *e;
+	HASH_FIND_STR (f->entries, id, e);
+	if (!e)
+		return false;
+	bool lapsed = f->away || (f->back_ms && now_ms - f->back_ms < CS_FLEET_LAPSE_GRACE_MS);
+	if (!lapsed || e->now->draining) {
+		discard (f, e);
+		return true;
+	}
+	if (!e->lapsed_ms)
+		e->lapsed_ms = now_ms;
+	return false;
+}
+
+void
+cs_fleet_reached (cs_fleet_t *f, int64_t now_ms, bool reached)
+{
+	if (reached && f->away)
+		f->back_ms = now_ms;
+	f->away = !reached;
+}
+
+bool
+cs_fleet_tick (cs_fleet_t *f, int64_t now_ms)
+{
+	cs_fleet_entry_t *e, *next;
+	bool changed = false;
+	if (f->away)
+		return false;
+	HASH_ITER (hh, f->entries, e, next)
+	{
+		if (!e->lapsed_ms || now_ms - f->back_ms < CS_FLEET_LAPSE_GRACE_MS)
+			continue;
+		discard (f, e);
+		changed = true;
+	}
+	return changed;
+}
+
+const cs_backend_t *
+cs_fleet_find (const cs_fleet_t *f, const char *id)
+{
+	cs_fleet_entry_t *e;
+	HASH_FIND_STR (f->entries, id, e);
+	return e ? e->now : NULL;
+}
+
+const cs_fleet_entry_t *
+cs_fleet_next (const cs_fleet_t *f, const cs_fleet_entry_t *at)
+{
+	return at ? at->hh.next : f->entries;
+}
+
+static bool
+in_group (const cs_backend_t *b, const cs_backend_t *head)
+{
+	return b->epoch == head->epoch &&
+	       (b->state == CS_MEMBER_READY || b->state == CS_MEMBER_OPEN) && !b->draining &&
+	       !strcmp (b->group, head->group) && !strcmp (b->service, head->service);
+}
+
+uint32_t
+cs_fleet_members (const cs_fleet_t *f, const cs_backend_t *head)
+{
+	uint32_t n = 0;
+	for (const cs_fleet_entry_t *e = f->entries; e; e = e->hh.next)
+		n += in_group (e->now, head);
+	return n;
+}
+
+bool
+cs_fleet_whole (const cs_fleet_t *f, const cs_backend_t *head, uint32_t size)
+{
+	return head->rank == 0 && head->state == CS_MEMBER_OPEN && !head->draining &&
+	       cs_fleet_members (f, head) == size;
+}
--- /dev/null
+++ b/packages/decide/src/formation_tend.c
@@ -0,0 +1,140 @@
+/* Orders for groups that exist. */
+#include <string.h>
+
+#include "formation_impl.h"
+
+enum {
+	REPEAT_MS = 1500, /* an order without visible effect is sent again; the list lags 0.8 s */
+	CLOSE_WAIT_MS = 4000, /* then the requests of a closing group are ended */
+	PROBE_MS = 1000,      /* between two probes of an unlisted head */
+	FORM_PATIENCE_MS =
+		30000 /* a group that is not ready by then is given up: a load takes 16 s */
+};
+
+/* A member of an older group whose head might still be open must wait for it. */
+static bool
+may_join (const cs_form_view_t *v, const cs_band_t *band, const char *id)
+{
+	cs_band_t *b, *next;
+	HASH_ITER (hh, v->f->bands, b, next)
+	{
+		if (b->epoch >= band->epoch || b->released || !b->opened)
+			continue;
+		for (size_t i = 0; i < b->n; i++)
+			if (!strcmp (b->members[i], id) && strcmp (b->members[0], id) != 0)
+				return false;
+	}
+	return true;
+}
+
+static bool
+needs_load (const cs_band_t *b, const cs_backend_t *m)
+{
+	return strcmp (m->model, b->model) != 0 && strcmp (m->staged, b->model) != 0;
+}
+
+static void
+join (cs_form_view_t *v, cs_band_t *b, size_t i, const cs_serving_service_t *service)
+{
+	const cs_backend_t *m = cs_fleet_find (v->fleet, b->members[i]);
+	if (!m || m->epoch >= b->epoch)
+		return;
+	if (b->joined_ms[i] && v->now_ms - b->joined_ms[i] < REPEAT_MS)
+		return;
+	if (!may_join (v, b, b->members[i]))
+		return;
+	if (!b->joined_ms[i] && needs_load (b, m) && !cs_formation_may_load (v, service))
+		return;
+	b->joined_ms[i] = v->now_ms;
+	cs_form_action_t *a = cs_formation_act (v->f, CS_FORM_JOIN, "assigned");
+	a->band = b;
+	a->id = m->id;
+	a->address = m->address;
+	a->model = b->model;
+}
+
+static void
+open_head (cs_form_view_t *v, cs_band_t *b, const cs_backend_t *head)
+{
+	if (b->opened_ms && v->now_ms - b->opened_ms < REPEAT_MS)
+		return;
+	b->opened = true;
+	b->opened_ms = v->now_ms;
+	b->open_unanswered = true;
+	cs_form_action_t *a = cs_formation_act (v->f, CS_FORM_OPEN, "all members ready");
+	a->band = b;
+	a->id = head->id;
+	a->address = head->address;
+}
+
+static void
+tend_whole (cs_form_view_t *v, cs_band_t *b, const cs_serving_service_t *service)
+{
+	const cs_backend_t *head = cs_fleet_find (v->fleet, b->members[0]);
+	size_t ready = 0;
+	for (size_t i = 0; i < b->n; i++) {
+		join (v, b, i, service);
+		ready += cs_band_has_ready (b, cs_fleet_find (v->fleet, b->members[i]));
+	}
+	if (ready == b->n && head->state == CS_MEMBER_READY)
+		open_head (v, b, head);
+}
+
+/* A member that drains ends its work; one that is gone leaves nothing to wait for. */
+static bool
+waits_for_work (const cs_form_view_t *v, const cs_band_t *b)
+{
+	for (size_t i = 0; i < b->n; i++)
+		if (!cs_fleet_find (v->fleet, b->members[i]))
+			return false;
+	return v->now_ms - b->closing_since_ms < CLOSE_WAIT_MS;
+}
+
+static void
+close_head (cs_form_view_t *v, cs_band_t *b, const cs_backend_t *head)
+{
+	if (b->closed_ms && v->now_ms - b->closed_ms < REPEAT_MS)
+		return;
+	if (!b->closing_since_ms)
+		b->closing_since_ms = v->now_ms;
+	b->closed_ms = v->now_ms;
+	cs_form_action_t *a = cs_formation_act (v->f, CS_FORM_CLOSE, "a member is lost");
+	a->band = b;
+	a->id = head->id;
+	a->address = head->address;
+	a->cut = !waits_for_work (v, b);
+}
+
+static void
+tend_lost (cs_form_view_t *v, cs_band_t *b)
+{
+	const cs_backend_t *head = cs_fleet_find (v->fleet, b->members[0]);
+	bool serves = head && head->epoch == b->epoch &&
+		      (head->state == CS_MEMBER_OPEN || head->state == CS_MEMBER_CLOSING);
+	if (serves)
+		close_head (v, b, head);
+	if (head || b->released || v->now_ms - b->probed_ms < PROBE_MS)
+		return;
+	b->probed_ms = v->now_ms;
+	cs_form_action_t *a = cs_formation_act (v->f, CS_FORM_PROBE, "the head is unlisted");
+	a->band = b;
+	a->id = b->members[0];
+}
+
+void
+cs_formation_tend (cs_form_view_t *v)
+{
+	cs_band_t *b, *next;
+	HASH_ITER (hh, v->f->bands, b, next)
+	{
+		const cs_serving_service_t *service = cs_serving_service (v->serving, b->service);
+		if (!service)
+			continue;
+		if (!b->lost && !b->opened && v->now_ms - b->made_ms > FORM_PATIENCE_MS)
+			b->lost = b->released = true;
+		if (b->lost)
+			tend_lost (v, b);
+		else
+			tend_whole (v, b, service);
+	}
+}
--- /dev/null
+++ b/packages/decide/src/formation_watch.c
@@ -0,0 +1,154 @@
+/* What the fleet's reports say of each group. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "formation_impl.h"
+
+enum {
+	MAX_ADOPTED = 64 /* members of a group that the ledger no longer names */
+};
+
+bool
+cs_band_has_ready (const cs_band_t *b, const cs_backend_t *m)
+{
+	return m && m->epoch == b->epoch && !strcmp (m->group, b->name) &&
+	       (m->state == CS_MEMBER_READY || m->state == CS_MEMBER_OPEN ||
+		m->state == CS_MEMBER_CLOSING);
+}
+
+static bool
+in_band (const cs_band_t *b, const cs_backend_t *m)
+{
+	return m && m->epoch == b->epoch && m->state != CS_MEMBER_NONE &&
+	       !strcmp (m->group, b->name);
+}
+
+/* A member is missing, drains, or has left what may be an open group. */
+static bool
+lacks_member (const cs_form_view_t *v, const cs_band_t *b)
+{
+	for (size_t i = 0; i < b->n; i++) {
+		const cs_backend_t *m = cs_fleet_find (v->fleet, b->members[i]);
+		if (!m || m->draining || m->epoch > b->epoch ||
+		    cs_formation_band_of (v->f, b->members[i]) != b)
+			return true;
+		if (b->opened && !cs_band_has_ready (b, m) && m->state != CS_MEMBER_BROKEN)
+			return true;
+	}
+	return false;
+}
+
+/* True if the head can't be serving under this epoch and nothing on its way can open it. */
+static bool
+head_is_still (const cs_form_view_t *v, const cs_band_t *b)
+{
+	const cs_backend_t *head = cs_fleet_find (v->fleet, b->members[0]);
+	bool open_on_its_way =
+		b->open_unanswered && v->now_ms - b->opened_ms < CS_FORMATION_ORDER_LATE_MS;
+	if (b->head_ended)
+		return true;
+	if (!head)
+		return b->head_missing_ms &&
+		       v->now_ms - b->head_missing_ms >= CS_FORMATION_HEAD_GONE_MS;
+	if (head->epoch > b->epoch)
+		return true;
+	if (!in_band (b, head))
+		return !open_on_its_way;
+	if (head->state == CS_MEMBER_OPEN || head->state == CS_MEMBER_CLOSING)
+		return false;
+	return !open_on_its_way;
+}
+
+static void
+watch_band (const cs_form_view_t *v, cs_band_t *b)
+{
+	const cs_backend_t *head = cs_fleet_find (v->fleet, b->members[0]);
+	if (head) {
+		b->head_missing_ms = 0;
+		b->head_ended = head->epoch > b->epoch;
+	} else if (!b->head_missing_ms) {
+		b->head_missing_ms = v->now_ms;
+	}
+	if (in_band (b, head) &&
+	    (head->state == CS_MEMBER_OPEN || head->state == CS_MEMBER_CLOSING ||
+	     head->state == CS_MEMBER_BROKEN)) {
+		b->opened = true;
+		if (head->state == CS_MEMBER_OPEN)
+			b->open_unanswered = false;
+	}
+	b->lost = lacks_member (v, b) || (in_band (b, head) && head->state == CS_MEMBER_BROKEN);
+	b->released = b->lost && (!b->opened || head_is_still (v, b));
+}
+
+/* A group that reports show and the ledger doesn't: its record has expired. */
+static void
+adopt (cs_form_view_t *v, const cs_backend_t *seen)
+{
+	const char *members[MAX_ADOPTED];
+	size_t n = 0;
+	for (const cs_fleet_entry_t *e = NULL; (e = cs_fleet_next (v->fleet, e));) {
+		const cs_backend_t *m = e->now;
+		if (m->epoch != seen->epoch || strcmp (m->group, seen->group) != 0 ||
+		    m->rank >= MAX_ADOPTED)
+			continue;
+		if (m->rank >= n) {
+			memset (members + n, 0, (m->rank + 1 - n) * sizeof *members);
+			n = m->rank + 1;
+		}
+		members[m->rank] = m->id;
+	}
+	/* A rank that nobody reports is a member that is lost; no back end has the name "". */
+	for (size_t i = 0; i < n; i++)
+		members[i] = members[i] ? members[i] : "";
+	cs_formation_fold (v->f, v->now_ms, seen->epoch, seen->group, seen->service, seen->model,
+			   members, n);
+	cs_band_t *b = cs_formation_band_of (v->f, seen->id);
+	if (b && b->epoch == seen->epoch) {
+		b->opened = true;
+		b->opened_ms = v->now_ms;
+		b->open_unanswered = true;
+	}
+}
+
+/* Groups none of whose members belong to them any more have done their part once their
+ * head cannot be open. */
+static bool
+is_superseded (const cs_form_view_t *v, const cs_band_t *b)
+{
+	for (size_t i = 0; i < b->n; i++)
+		if (cs_formation_band_of (v->f, b->members[i]) == b)
+			return false;
+	return b->released;
+}
+
+/* Members that are still to become ready in a group that forms. */
+static uint32_t
+count_loading (const cs_form_view_t *v, const cs_band_t *b)
+{
+	uint32_t n = 0;
+	for (size_t i = 0; i < b->n && !b->opened && !b->lost; i++)
+		n += !cs_band_has_ready (b, cs_fleet_find (v->fleet, b->members[i]));
+	return n;
+}
+
+void
+cs_formation_watch (cs_form_view_t *v)
+{
+	cs_band_t *b, *next;
+	for (const cs_fleet_entry_t *e = NULL; (e = cs_fleet_next (v->fleet, e));) {
+		const cs_backend_t *m = e->now;
+		const cs_band_t *known = cs_formation_band_of (v->f, m->id);
+		if (m->state != CS_MEMBER_NONE && *m->group && (!known || known->epoch < m->epoch))
+			adopt (v, m);
+		cs_formation_note_address (v->f, m);
+	}
+	HASH_ITER (hh, v->f->bands, b, next)
+	{
+		watch_band (v, b);
+		v->loading += count_loading (v, b);
+		if (!is_superseded (v, b))
+			continue;
+		HASH_DEL (v->f->bands, b);
+		cs_band_free (b);
+	}
+}
--- /dev/null
+++ b/packages/decide/src/outcome.c
@@ -0,0 +1,72 @@
+#include "cs/outcome.h"
+
+enum {
+	STATUS_BAD_REQUEST = 400,
+	STATUS_MISDIRECTED = 421,
+	STATUS_TOO_MANY = 429,
+	STATUS_SERVER_ERROR = 500,
+	STATUS_UNAVAILABLE = 503
+};
+
+static bool
+refuses_unrun (const cs_attempt_t *a)
+{
+	if (a->status == STATUS_MISDIRECTED)
+		return true;
+	return a->declared_not_run &&
+	       (a->status == STATUS_BAD_REQUEST || a->status == STATUS_TOO_MANY ||
+		a->status == STATUS_UNAVAILABLE);
+}
+
+cs_run_t
+cs_outcome_run (const cs_attempt_t *a)
+{
+	if (a->end == CS_ATTEMPT_NOT_SENT)
+		return CS_RUN_NO;
+	if (a->end != CS_ATTEMPT_ANSWERED)
+		return CS_RUN_MAYBE;
+	if (refuses_unrun (a))
+		return CS_RUN_NO;
+	return a->is_signed && a->is_own ? CS_RUN_YES : CS_RUN_MAYBE;
+}
+
+static cs_then_t
+after_answer (const cs_attempt_t *a, const cs_request_state_t *r)
+{
+	bool failed = a->status >= STATUS_SERVER_ERROR;
+	bool again = failed && cs_serving_repeatable (r->route) && r->may_repeat &&
+		     r->runs < r->route->attempts && r->tries < CS_OUTCOME_MAX_TRIES &&
+		     !r->reached_caller;
+	return again ? CS_THEN_AGAIN : CS_THEN_DELIVER;
+}
+
+cs_then_t
+cs_outcome_then (const cs_attempt_t *a, const cs_request_state_t *r)
+{
+	cs_run_t run = cs_outcome_run (a);
+	bool repeatable = cs_serving_repeatable (r->route);
+	if (run == CS_RUN_YES)
+		return after_answer (a, r);
+	bool again = r->may_repeat && a->end != CS_ATTEMPT_TIMEOUT &&
+		     r->tries < CS_OUTCOME_MAX_TRIES &&
+		     (run == CS_RUN_NO || (repeatable && r->runs < r->route->attempts));
+	if (r->reached_caller)
+		return again && repeatable ? CS_THEN_RESUME : CS_THEN_CUT;
+	if (again)
+		return CS_THEN_AGAIN;
+	if (run == CS_RUN_NO && !r->runs)
+		return CS_THEN_REFUSE;
+	return a->end == CS_ATTEMPT_TIMEOUT ? CS_THEN_EXPIRE : CS_THEN_FAIL;
+}
+
+const char *
+cs_then_name (cs_then_t then)
+{
+	static const char *const names[] = {
+		[CS_THEN_DELIVER] = "deliver", [CS_THEN_AGAIN] = "again",
+		[CS_THEN_RESUME] = "resume",   [CS_THEN_REFUSE] = "refuse",
+		[CS_THEN_FAIL] = "fail",       [CS_THEN_EXPIRE] = "expire",
+		[CS_THEN_CUT] = "cut",
+	};
+	return names[then];
+}
--- /dev/null
+++ b/packages/decide/src/suspects.c
@@ -0,0 +1,96 @@
+#include "cs/suspects.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "cs/str.h"
+
+enum {
+	MAX_DOUBLINGS = 4
+};
+
+void
+cs_suspects_init (cs_suspects_t *s)
+{
+	s->entries = NULL;
+}
+
+static void
+discard (cs_suspects_t *s, cs_suspect_t *e)
+{
+	HASH_DEL (s->entries, e);
+	free (e->id);
+	free (e);
+}
+
+void
+cs_suspects_finish (cs_suspects_t *s)
+{
+	cs_suspect_t *e, *next;
+	HASH_ITER (hh, s->entries, e, next)
+	discard (s, e);
+}
+
+static cs_suspect_t *
+find (const cs_suspects_t *s, const char *id)
+{
+	cs_suspect_t *e;
+	HASH_FIND_STR (s->entries, id, e);
+	return e;
+}
+
+/* Attempts that ran side by side fail together: they are one failure. */
+void
+cs_suspects_failed (cs_suspects_t *s, int64_t now_ms, const char *id, uint64_t life)
+{
+	cs_suspect_t *e = find (s, id);
+	if (!e) {
+		e = cs_alloc (sizeof *e);
+		e->id = cs_str_dup (cs_str (id));
+		HASH_ADD_KEYPTR (hh, s->entries, e->id, strlen (e->id), e);
+	}
+	if (e->life != life)
+		e->strikes = 0;
+	e->life = life;
+	if (e->strikes && now_ms < e->until_ms)
+		return;
+	uint32_t doublings = e->strikes < MAX_DOUBLINGS ? e->strikes : MAX_DOUBLINGS;
+	e->strikes++;
+	e->until_ms = now_ms + ((int64_t)CS_SUSPECT_FIRST_MS << doublings);
+	if (e->until_ms > now_ms + CS_SUSPECT_MAX_MS)
+		e->until_ms = now_ms + CS_SUSPECT_MAX_MS;
+}
+
+void
+cs_suspects_answered (cs_suspects_t *s, const char *id)
+{
+	cs_suspect_t *e = find (s, id);
+	if (e)
+		discard (s, e);
+}
+
+bool
+cs_suspects_has (const cs_suspects_t *s, int64_t now_ms, const char *id, uint64_t life)
+{
+	const cs_suspect_t *e = find (s, id);
+	return e && e->life == life && now_ms < e->until_ms;
+}
+
+size_t
+cs_suspects_list (const cs_suspects_t *s, int64_t now_ms, const char **out, size_t max)
+{
+	size_t n = 0;
+	for (const cs_suspect_t *e = s->entries; e && n < max; e = e->hh.next)
+		if (now_ms < e->until_ms)
+			out[n++] = e->id;
+	return n;
+}
+
+void
+cs_suspects_tick (cs_suspects_t *s, int64_t now_ms)
+{
+	cs_suspect_t *e, *next;
+	HASH_ITER (hh, s->entries, e, next)
+	if (now_ms - e->until_ms > CS_SUSPECT_FORGET_MS)
+		discard (s, e);
+}
--- a/packages/engine/tests/test_engine.c
+++ b/packages/engine/tests/test_engine.c
@@ -75,8 +75,8 @@
 }
 
 static cs_plugin_t fakes[] = {
-	{"control", 1, fake_init, NULL, control_receive, fake_finish, NULL},
-	{"gateway", 1, fake_init, NULL, gateway_receive, fake_finish, NULL},
+	{"control", 1, fake_init, NULL, control_receive, fake_finish, CS_PROFILE_OWN, NULL},
+	{"gateway", 1, fake_init, NULL, gateway_receive, fake_finish, CS_PROFILE_OWN, NULL},
 };
 
 typedef struct {
--- /dev/null
+++ b/packages/former/src/former.c
@@ -0,0 +1,221 @@
+#include "former.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cs/log.h"
+#include "cs/record.pb-c.h"
+
+enum {
+	TICK_MS = 200 /* between two plans */
+};
+
+static void
+encode_form (const cs_band_t *band, cs_buf_t *out)
+{
+	Cs__Form form = CS__FORM__INIT;
+	Cs__Record record = CS__RECORD__INIT;
+	form.group = band->name;
+	form.model_group = band->service;
+	form.model = band->model;
+	form.members = band->members;
+	form.n_members = band->n;
+	record.body_case = CS__RECORD__BODY_FORM;
+	record.form = &form;
+	cs_buf_reserve (out, cs__record__get_packed_size (&record));
+	out->n += cs__record__pack (&record, (uint8_t *)out->p + out->n);
+}
+
+/* Offsets count from 0 and epochs from 1, so that no epoch stands for "never joined". */
+static void
+fold (cs_former_t *f, const cs_ledger_msg_t *m)
+{
+	Cs__Record *r = cs__record__unpack (NULL, m->bytes.n, (const uint8_t *)m->bytes.p);
+	if (!r || r->body_case != CS__RECORD__BODY_FORM) {
+		cs_log ("former", CS_LOG_WARN, "ledger record %" PRIu64 " is no Form", m->offset);
+	} else {
+		const Cs__Form *form = r->form;
+		cs_formation_fold (&f->formation, cs_now_ms (), m->offset + 1, form->group,
+				   form->model_group, form->model,
+				   (const char *const *)form->members, form->n_members);
+	}
+	if (r)
+		cs__record__free_unpacked (r, NULL);
+}
+
+static void
+take_ledger (cs_former_t *f, const cs_ledger_msg_t *m)
+{
+	if (!f->turn_until_ms)
+		return;
+	if (!m->bytes.n) {
+		f->ledger_read = true;
+		f->ledger_end = m->offset;
+		return;
+	}
+	fold (f, m);
+	f->ledger_end = m->offset + 1;
+}
+
+/* Appends all groups that the plan proposes; what becomes of them is read in the ledger. */
+static void
+propose (cs_former_t *f)
+{
+	const cs_formation_t *p = &f->formation;
+	if (!p->n_proposed)
+		return;
+	cs_ledger_msg_t *m = cs_ledger_msg (CS_HOST_PROPOSE, f->ledger_end, cs_str (NULL), CS_OK);
+	m->records = cs_alloc (p->n_proposed * sizeof *m->records);
+	m->n_records = p->n_proposed;
+	for (size_t i = 0; i < p->n_proposed; i++) {
+		const cs_band_t *b = p->proposed[i];
+		cs_buf_init (&m->records[i]);
+		encode_form (b, &m->records[i]);
+		cs_log_event ("former", "group_proposed",
+			      "group=%s model=%s members=%zu head=%s epoch=%" PRIu64, b->name,
+			      b->model, b->n, b->members[0], f->ledger_end + i + 1);
+	}
+	f->appending = true;
+	f->proposed_end = f->ledger_end + p->n_proposed;
+	cs_send (f->task, f->store, &m->msg);
+}
+
+static void
+plan (cs_former_t *f)
+{
+	int64_t now = cs_now_ms ();
+	bool ready = f->serving && f->ledger_read && !f->appending && !f->fleet.away;
+	cs_fleet_tick (&f->fleet, now);
+	if (!ready || now >= f->turn_until_ms)
+		return;
+	cs_formation_plan (&f->formation, now, &f->fleet, f->serving);
+	for (size_t i = 0; i < f->formation.n_actions; i++)
+		if (f->formation.actions[i].kind != CS_FORM_APPEND)
+			cs_former_send (f, &f->formation.actions[i]);
+	propose (f);
+}
+
+static void
+on_tick (struct ev_loop *loop, ev_timer *w, int events)
+{
+	(void)loop;
+	(void)events;
+	plan (w->data);
+}
+
+static void
+take_turn (cs_former_t *f, const cs_state_msg_t *m)
+{
+	if (!m->yes) {
+		f->turn_until_ms = 0;
+		return;
+	}
+	if (!f->turn_until_ms || f->turn_until_ms < cs_now_ms ()) {
+		cs_formation_begin (&f->formation, cs_now_ms ());
+		f->ledger_read = false;
+		f->appending = false;
+	}
+	f->turn_until_ms = m->until_ms;
+}
+
+static void
+proposed (cs_former_t *f, cs_status_t status)
+{
+	f->appending = false;
+	/* What the ledger holds now has to be read before the next plan. */
+	f->ledger_read = status == CS_OK && f->ledger_end >= f->proposed_end;
+	cs_log_event ("former", "proposal_ended", "status=%s end=%" PRIu64, cs_status_name (status),
+		      f->ledger_end);
+}
+
+static cs_status_t
+init (cs_task_t *task)
+{
+	cs_former_t *f = task->state;
+	f->task = task;
+	f->host = task->kernel->settings;
+	cs_fleet_init (&f->fleet);
+	cs_formation_init (&f->formation);
+	ev_timer_init (&f->tick, on_tick, TICK_MS / 1000., TICK_MS / 1000.);
+	f->tick.data = f;
+	return cs_http_init (&f->http, task->kernel->loop);
+}
+
+static void
+start (cs_task_t *task)
+{
+	cs_former_t *f = task->state;
+	f->store = cs_task_find (task->kernel, "store");
+	ev_timer_start (task->kernel->loop, &f->tick);
+}
+
+static void
+take_backend (cs_former_t *f, const cs_backend_msg_t *m)
+{
+	if (!m->backend) {
+		cs_fleet_remove (&f->fleet, cs_now_ms (), m->id);
+		return;
+	}
+	cs_ref_get (&m->backend->ref);
+	cs_fleet_set (&f->fleet, cs_now_ms (), m->backend);
+}
+
+static void
+receive (cs_task_t *task, cs_msg_t *m)
+{
+	cs_former_t *f = task->state;
+	switch (m->kind) {
+	case CS_HOST_SERVING:
+		if (f->serving)
+			cs_ref_put (&f->serving->ref);
+		f->serving = ((cs_serving_msg_t *)m)->serving;
+		cs_ref_get (&f->serving->ref);
+		break;
+	case CS_HOST_BACKEND:
+		take_backend (f, (cs_backend_msg_t *)m);
+		break;
+	case CS_HOST_LIST_STATE:
+		cs_fleet_reached (&f->fleet, cs_now_ms (), ((cs_state_msg_t *)m)->yes);
+		break;
+	case CS_HOST_TURN:
+		take_turn (f, (cs_state_msg_t *)m);
+		break;
+	case CS_HOST_LEDGER:
+		take_ledger (f, (cs_ledger_msg_t *)m);
+		break;
+	case CS_HOST_PROPOSED:
+		proposed (f, ((cs_ledger_msg_t *)m)->status);
+		break;
+	default:
+		break;
+	}
+}
+
+static void
+finish (cs_task_t *task)
+{
+	cs_former_t *f = task->state;
+	ev_timer_stop (task->kernel->loop, &f->tick);
+	cs_http_finish (&f->http);
+	cs_formation_finish (&f->formation);
+	cs_fleet_finish (&f->fleet);
+	if (f->serving)
+		cs_ref_put (&f->serving->ref);
+}
+
+static cs_plugin_t plugin = {
+	.name = "former",
+	.profile = CS_PROFILE_HOSTED,
+	.state_size = sizeof (cs_former_t),
+	.init = init,
+	.start = start,
+	.receive = receive,
+	.finish = finish,
+};
+
+__attribute__ ((constructor)) static void
+enlist (void)
+{
+	cs_plugin_register (&plugin);
+}
--- /dev/null
+++ b/packages/former/src/order.c
@@ -0,0 +1,146 @@
+/* Orders to back ends and probes of heads that are unlisted. */
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cs/counters.h"
+#include "cs/log.h"
+#include "former.h"
+
+enum {
+	ORDER_MS = 1000, /* longest wait for an answer; the order may still be carried out */
+	CONNECT_MS = 500,
+	STATUS_MISDIRECTED = 421
+};
+
+typedef struct {
+	cs_http_call_t http;
+	cs_former_t *former;
+	cs_form_kind_t kind;
+	uint64_t epoch;
+	char *id;
+	cs_buf_t url;
+	cs_buf_t body;
+	cs_buf_t expected;
+	cs_buf_t reply;
+	const char *headers[3];
+} order_t;
+
+static cs_counter_t orders = {.name = "cs_former_orders_total",
+			      .help = "Orders sent to back ends."};
+
+static void
+on_body (cs_http_call_t *call, cs_str_t bytes)
+{
+	order_t *o = call->data;
+	cs_buf_add (&o->reply, bytes);
+}
+
+static void
+end_probe (const order_t *o, cs_http_end_t end, int status, bool refused)
+{
+	cs_former_t *f = o->former;
+	cs_report_t report;
+	bool ended = refused || (end == CS_HTTP_DONE && status == STATUS_MISDIRECTED);
+	bool told = end == CS_HTTP_DONE && status == 200 &&
+		    f->host->adapter->decode_report (cs_buf_str (&o->reply), &report);
+	if (!ended && !told)
+		return; /* silence proves nothing */
+	bool moved = told && report.epoch != o->epoch;
+	cs_formation_probed (&f->formation, o->epoch, ended || moved,
+			     told ? (cs_member_state_t)report.state : CS_MEMBER_NONE);
+}
+
+static void
+on_end (cs_http_call_t *call, cs_http_end_t end, int status)
+{
+	static const char *const names[] = {"append", "join", "open", "close", "stage", "probe"};
+	order_t *o = call->data;
+	if (end != CS_HTTP_CANCELLED)
+		cs_log_event ("former", "answered",
+			      "order=%s backend=%s epoch=%" PRIu64 " status=%d end=%d reply=%.120s",
+			      names[o->kind], o->id, o->epoch, status, (int)end,
+			      o->reply.p && status != 200 ? o->reply.p : "");
+	if (o->kind == CS_FORM_OPEN && end == CS_HTTP_DONE)
+		cs_formation_opened (&o->former->formation, o->epoch, status < 300);
+	if (o->kind == CS_FORM_OPEN && end == CS_HTTP_NOT_SENT)
+		cs_formation_opened (&o->former->formation, o->epoch, false);
+	if (o->kind == CS_FORM_PROBE)
+		end_probe (o, end, status, call->refused);
+	cs_buf_finish (&o->url);
+	cs_buf_finish (&o->body);
+	cs_buf_finish (&o->expected);
+	cs_buf_finish (&o->reply);
+	free (o->id);
+	free (o);
+}
+
+static void
+encode (const cs_former_t *f, const cs_form_action_t *a, cs_buf_t *out)
+{
+	static const cs_order_kind_t kinds[] = {
+		[CS_FORM_JOIN] = CS_ORDER_JOIN,
+		[CS_FORM_OPEN] = CS_ORDER_OPEN,
+		[CS_FORM_CLOSE] = CS_ORDER_CLOSE,
+		[CS_FORM_STAGE] = CS_ORDER_STAGE,
+	};
+	cs_order_t order = {.kind = kinds[a->kind], .model = a->model, .cut = a->cut};
+	if (a->band) {
+		order.group = a->band->name;
+		order.epoch = a->band->epoch;
+		order.members = (const char *const *)a->band->members;
+		order.n_members = a->band->n;
+	}
+	f->host->adapter->encode_order (&order, out);
+}
+
+/* The address of a back end that is unlisted; NULL if it is not known any more. */
+static const char *
+address_of (const cs_former_t *f, const cs_form_action_t *a)
+{
+	if (a->address)
+		return a->address;
+	return cs_formation_address (&f->formation, a->id);
+}
+
+void
+cs_former_send (cs_former_t *f, const cs_form_action_t *a)
+{
+	const cs_adapter_t *adapter = f->host->adapter;
+	const char *address = address_of (f, a);
+	bool probe = a->kind == CS_FORM_PROBE;
+	if (!address)
+		return;
+	order_t *o = cs_alloc (sizeof *o);
+	o->former = f;
+	o->kind = a->kind;
+	o->epoch = a->band ? a->band->epoch : 0;
+	o->id = cs_str_dup (cs_str (a->id));
+	cs_buf_printf (&o->url, "http://%s%s", address,
+		       probe ? adapter->report_path : adapter->order_path);
+	cs_buf_printf (&o->expected, "%s: %s", adapter->headers->expected_backend, a->id);
+	o->headers[0] = o->expected.p;
+	if (!probe) {
+		encode (f, a, &o->body);
+		o->headers[1] = "Content-Type: application/json";
+	}
+	o->http = (cs_http_call_t){
+		.method = probe ? "GET" : "POST",
+		.url = cs_buf_str (&o->url),
+		.body = cs_buf_str (&o->body),
+		.headers = o->headers,
+		.connect_ms = CONNECT_MS,
+		.idle_ms = ORDER_MS,
+		.total_ms = ORDER_MS,
+		.not_after_ms = f->turn_until_ms, /* a daemon that was paused sends nothing stale */
+		.on_body = on_body,
+		.on_end = on_end,
+		.data = o,
+	};
+	cs_count (&orders, 1);
+	cs_log_event ("former", "ordered",
+		      "order=%d backend=%s group=%s epoch=%" PRIu64 " reason=\"%s\"", (int)a->kind,
+		      a->id, a->band ? a->band->name : "", o->epoch, a->reason);
+	if (cs_http_start (&f->http, &o->http) != CS_OK)
+		on_end (&o->http, CS_HTTP_NOT_SENT, 0);
+}
--- /dev/null
+++ b/packages/forward/src/admit.c
@@ -0,0 +1,88 @@
+/* Finds the request's route, team and time. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "cs/log.h"
+#include "forward.h"
+
+enum {
+	STATUS_BAD_REQUEST = 400,
+	STATUS_UNAUTHORIZED = 401,
+	STATUS_NOT_FOUND = 404,
+	STATUS_TOO_LARGE = 413,
+	STATUS_UNAVAILABLE = 503,
+	UNSTATED_DEADLINE_MS = 30000, /* of a caller that says nothing */
+	NO_CONFIG_RETRY_MS = 500      /* a daemon reads the store within that once it is up */
+};
+
+static cs_str_t
+path_of (const cs_call_t *c)
+{
+	return cs_str_n (c->target, strcspn (c->target, "?"));
+}
+
+static void
+set_times (cs_call_t *c)
+{
+	cs_str_t text = cs_headers_find (&c->headers, c->forward->names->deadline);
+	uint64_t ms = UNSTATED_DEADLINE_MS;
+	if (!cs_str_u64 (text, &ms) || ms > UNSTATED_DEADLINE_MS)
+		ms = UNSTATED_DEADLINE_MS;
+	c->deadline_ms = c->received_ms + (int64_t)ms;
+	c->timeout_ms = c->deadline_ms;
+	int64_t route_ms = c->received_ms + c->route->timeout_ms;
+	if (c->route->timeout_ms && route_ms < c->timeout_ms)
+		c->timeout_ms = route_ms;
+}
+
+/* A body whose end two headers state could hide a second request. */
+static bool
+is_ambiguous (const cs_call_t *c)
+{
+	return cs_headers_find (&c->headers, "Transfer-Encoding").n &&
+	       cs_headers_find (&c->headers, "Content-Length").n;
+}
+
+static void
+refuse (cs_call_t *c, int status, const char *reason, uint32_t retry_after_ms)
+{
+	cs_log_event (
+		"forward", "not_admitted",
+		"id=%.*s status=%d reason=%s path=%.80s config_version=%llu config_age_ms=%lld",
+		CS_STR_ARG (cs_call_id (c)), status, reason, c->target,
+		c->serving ? (unsigned long long)c->serving->version : 0,
+		c->serving ? (long long)(cs_now_ms () - c->serving->read_ms) : -1);
+	cs_reply_own (c, status, reason, retry_after_ms);
+}
+
+void
+cs_admit (cs_call_t *c)
+{
+	cs_forward_t *f = c->forward;
+	if (!f->serving || !f->listed) {
+		refuse (c, STATUS_UNAVAILABLE, "no-configuration", NO_CONFIG_RETRY_MS);
+		return;
+	}
+	c->serving = f->serving;
+	cs_ref_get (&c->serving->ref);
+	if (c->too_large || is_ambiguous (c)) {
+		refuse (c, c->too_large ? STATUS_TOO_LARGE : STATUS_BAD_REQUEST,
+			c->too_large ? "body-too-large" : "ambiguous-length", 0);
+		return;
+	}
+	c->route =
+		cs_serving_match (c->serving, cs_headers_find (&c->headers, "Host"), path_of (c));
+	if (!c->route) {
+		refuse (c, STATUS_NOT_FOUND, "no-route", 0);
+		return;
+	}
+	c->team = cs_serving_team (c->serving, cs_headers_find (&c->headers, f->names->key));
+	if (!c->team && !c->route->is_public && c->serving->n_teams) {
+		refuse (c, STATUS_UNAUTHORIZED, "unknown-key", 0);
+		return;
+	}
+	set_times (c);
+	c->service = cs_str_dup (cs_str (cs_serving_draw (c->route, &f->rng)));
+	cs_retry_first (&f->retry, c->received_ms);
+	cs_dispatch (c);
+}
--- /dev/null
+++ b/packages/forward/src/call.c
@@ -0,0 +1,63 @@
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#include "forward.h"
+
+static void
+on_again (struct ev_loop *loop, ev_timer *w, int events)
+{
+	(void)loop;
+	(void)events;
+	cs_dispatch (w->data);
+}
+
+cs_call_t *
+cs_call_new (cs_forward_t *f, struct MHD_Connection *connection, const char *target)
+{
+	cs_call_t *c = cs_alloc (sizeof *c);
+	c->forward = f;
+	c->connection = connection;
+	c->target = cs_str_dup (cs_str (target));
+	c->received_ms = cs_now_ms ();
+	ev_init (&c->again, on_again);
+	c->again.data = c;
+	DL_APPEND (f->calls, c);
+	return c;
+}
+
+void
+cs_call_free (cs_call_t *c)
+{
+	cs_forward_t *f = c->forward;
+	struct ev_loop *loop = f->task->kernel->loop;
+	cs_httpd_leave_stop (&c->leave, loop);
+	ev_timer_stop (loop, &c->again);
+	c->gone = true; /* nothing follows from the end of its attempt */
+	cs_sending_abandon (c);
+	if (c->counted) {
+		f->callers.in_progress--;
+		cs_counts_ended (c);
+	}
+	DL_DELETE (f->calls, c);
+	for (uint32_t i = 0; i < c->tries && i < CS_OUTCOME_MAX_TRIES; i++)
+		free (c->tried[i]);
+	if (c->has_events)
+		cs_sse_finish (&c->events);
+	if (c->serving)
+		cs_ref_put (&c->serving->ref);
+	cs_headers_clear (&c->headers);
+	cs_headers_clear (&c->answer);
+	cs_buf_finish (&c->body);
+	cs_buf_finish (&c->queue);
+	free (c->method);
+	free (c->target);
+	free (c->service);
+	free (c);
+}
+
+cs_str_t
+cs_call_id (const cs_call_t *c)
+{
+	return cs_headers_find (&c->headers, c->forward->names->request_id);
+}
--- /dev/null
+++ b/packages/forward/src/counts.c
@@ -0,0 +1,91 @@
+/* Counters, histograms and the line of a request's end. */
+#include "cs/counters.h"
+#include "cs/log.h"
+#include "forward.h"
+
+typedef enum {
+	ANSWERED,
+	FAILED, /* a back end's own 5xx */
+	REFUSED,
+	UNANSWERED,
+	CUT,
+	LEFT
+} end_t;
+
+static const char requests_help[] = "Ended requests by outcome.";
+
+static cs_counter_t requests[] = {
+	[ANSWERED] = {.name = "cs_forward_requests_total{outcome=\"answered\"}",
+		      .help = requests_help},
+	[FAILED] = {.name = "cs_forward_requests_total{outcome=\"back-end-failed\"}",
+		    .help = requests_help},
+	[REFUSED] = {.name = "cs_forward_requests_total{outcome=\"refused\"}",
+		     .help = requests_help},
+	[UNANSWERED] = {.name = "cs_forward_requests_total{outcome=\"no-answer\"}",
+			.help = requests_help},
+	[CUT] = {.name = "cs_forward_requests_total{outcome=\"cut\"}", .help = requests_help},
+	[LEFT] = {.name = "cs_forward_requests_total{outcome=\"caller-left\"}",
+		  .help = requests_help},
+};
+
+static const char attempts_help[] = "Ended attempts at back ends.";
+
+static cs_counter_t attempts[] = {
+	{.name = "cs_forward_attempts_total{end=\"answered\"}", .help = attempts_help},
+	{.name = "cs_forward_attempts_total{end=\"not-sent\"}", .help = attempts_help},
+	{.name = "cs_forward_attempts_total{end=\"broken\"}", .help = attempts_help},
+	{.name = "cs_forward_attempts_total{end=\"silent\"}", .help = attempts_help},
+	{.name = "cs_forward_attempts_total{end=\"timeout\"}", .help = attempts_help},
+};
+
+static const char duration_help[] = "Requests by time to their end, cumulative.";
+
+static struct {
+	int64_t bound_ms;
+	cs_counter_t counter;
+} duration[] = {
+	{50, {.name = "cs_forward_duration_total{le_ms=\"50\"}", .help = duration_help}},
+	{150, {.name = "cs_forward_duration_total{le_ms=\"150\"}", .help = duration_help}},
+	{500, {.name = "cs_forward_duration_total{le_ms=\"500\"}", .help = duration_help}},
+	{1500, {.name = "cs_forward_duration_total{le_ms=\"1500\"}", .help = duration_help}},
+	{5000, {.name = "cs_forward_duration_total{le_ms=\"5000\"}", .help = duration_help}},
+	{INT64_MAX, {.name = "cs_forward_duration_total{le_ms=\"+Inf\"}", .help = duration_help}},
+};
+
+static end_t
+end_of (const cs_call_t *c)
+{
+	if (c->own_reason)
+		return c->status == 502 || c->status == 504 ? UNANSWERED : REFUSED;
+	if (c->ended && !c->complete)
+		return CUT;
+	if (!c->ended)
+		return LEFT;
+	return c->status >= 500 ? FAILED : ANSWERED;
+}
+
+void
+cs_counts_ended (const cs_call_t *c)
+{
+	static const char *const names[] = {"answered", "back-end-failed", "refused", "no-answer",
+					    "cut",      "caller-left"};
+	int64_t ms = cs_now_ms () - c->received_ms;
+	end_t end = end_of (c);
+	cs_count (&requests[end], 1);
+	for (size_t i = 0; i < sizeof duration / sizeof *duration; i++)
+		cs_count (&duration[i].counter, ms <= duration[i].bound_ms);
+	cs_log_event ("forward", "request_ended",
+		      "id=%.*s outcome=%s status=%d reason=%s route=%s service=%s tries=%u runs=%u "
+		      "ms=%lld retry_after_ms=%u",
+		      CS_STR_ARG (cs_call_id (c)), names[end], c->status,
+		      c->own_reason ? c->own_reason : "-", c->route ? c->route->name : "-",
+		      c->service ? c->service : "-", c->tries, c->runs, (long long)ms,
+		      c->retry_after_ms);
+}
+
+void
+cs_counts_attempt (const cs_sending_t *s, const cs_attempt_t *result)
+{
+	(void)s;
+	cs_count (&attempts[result->end], 1);
+}
--- /dev/null
+++ b/packages/forward/src/dispatch.c
@@ -0,0 +1,73 @@
+/* Chooses the back end of a request's next attempt. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "cs/log.h"
+#include "forward.h"
+
+enum {
+	MAX_AVOIDED = 64,
+	STATUS_BAD_GATEWAY = 502,
+	STATUS_UNAVAILABLE = 503,
+	NO_TARGET_RETRY_MS =
+		1000,       /* a group is repaired in about that time where weights are warm */
+	BUSY_RETRY_MS = 400 /* some requests end in that time */
+};
+
+/* Suspects and those tried before come last. */
+static cs_status_t
+pick (cs_call_t *c, const char *service, cs_route_t *out)
+{
+	cs_forward_t *f = c->forward;
+	const char *avoid[MAX_AVOIDED + CS_OUTCOME_MAX_TRIES];
+	int64_t now = cs_now_ms ();
+	cs_route_query_t q = {.service = service, .version = "", .adapter = "", .avoid = avoid};
+	for (uint32_t i = 0; i < c->tries; i++)
+		avoid[q.n_avoid++] = c->tried[i];
+	size_t tried = q.n_avoid;
+	q.n_avoid += cs_suspects_list (&f->suspects, now, avoid + tried, MAX_AVOIDED);
+	cs_status_t status = cs_router_pick (&f->router, now, &q, out);
+	if (status == CS_OK || q.n_avoid == tried)
+		return status;
+	q.n_avoid = tried;
+	return cs_router_pick (&f->router, now, &q, out);
+}
+
+static void
+refuse (cs_call_t *c, cs_status_t status, const char *service)
+{
+	const char *reason = status == CS_EXHAUSTED ? "busy" : "no-back-end";
+	cs_log_event ("forward", "refused",
+		      "id=%.*s reason=%s service=%s runs=%u list_away=%d back_ends=%u",
+		      CS_STR_ARG (cs_call_id (c)), reason, service, c->runs, c->forward->list_away,
+		      (unsigned)HASH_COUNT (c->forward->fleet.entries));
+	if (c->has_head)
+		cs_reply_end (c, false);
+	else if (c->runs)
+		cs_reply_own (c, STATUS_BAD_GATEWAY, reason, 0);
+	else
+		cs_reply_own (c, STATUS_UNAVAILABLE, reason,
+			      status == CS_EXHAUSTED ? BUSY_RETRY_MS : NO_TARGET_RETRY_MS);
+}
+
+void
+cs_dispatch (cs_call_t *c)
+{
+	cs_forward_t *f = c->forward;
+	cs_route_t chosen;
+	cs_buf_t service;
+	if (c->gone || c->ended)
+		return;
+	cs_targets_refresh (f);
+	cs_buf_init (&service);
+	const cs_serving_service_t *declared = cs_serving_service (c->serving, c->service);
+	cs_str_t model = cs_headers_find (&c->headers, f->names->model);
+	cs_targets_service (&service, c->service,
+			    declared && declared->n_models ? model : cs_str (""));
+	cs_status_t status = pick (c, service.p, &chosen);
+	if (status == CS_OK)
+		status = cs_sending_start (c, chosen.name);
+	if (status != CS_OK)
+		refuse (c, status, service.p);
+	cs_buf_finish (&service);
+}
--- /dev/null
+++ b/packages/forward/src/forward.c
@@ -0,0 +1,178 @@
+/* The task's messages, timers and planned stop. */
+#include "forward.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "cs/log.h"
+
+enum {
+	TICK_MS = 200,
+	BALANCER_MS = 2500,   /* the balancer stops sending after two misses, one a second */
+	STOP_MARGIN_MS = 400, /* a stop ends that long before the platform ends the process */
+	BUDGET_PERCENT_OF =
+		90,        /* of the ratio that all daemons may repeat: views differ a little */
+	EJECT_PERCENT = 20 /* of a service's back ends that may be kept out as slow */
+};
+
+static void
+end_stop (cs_forward_t *f, const char *how)
+{
+	if (f->stopped)
+		return;
+	f->stopped = true;
+	cs_log_event ("daemon", "stopped", "how=%s in_progress=%zu", how, f->callers.in_progress);
+	cs_kernel_stop (f->task->kernel);
+}
+
+static void
+watch_stop (cs_forward_t *f)
+{
+	int64_t ms = cs_now_ms () - f->stopping_ms;
+	if (!f->stopping_ms || ms < BALANCER_MS)
+		return;
+	if (!f->callers.in_progress)
+		end_stop (f, "all requests ended");
+	else if (ms > (int64_t)f->host->grace_ms - STOP_MARGIN_MS)
+		end_stop (f, "the grace period is over");
+}
+
+static void
+on_tick (struct ev_loop *loop, ev_timer *w, int events)
+{
+	cs_forward_t *f = w->data;
+	int64_t now = cs_now_ms ();
+	(void)loop;
+	(void)events;
+	if (cs_fleet_tick (&f->fleet, now))
+		f->targets_stale = true;
+	cs_router_tick (&f->router, now);
+	cs_suspects_tick (&f->suspects, now);
+	watch_stop (f);
+}
+
+static cs_status_t
+init (cs_task_t *task)
+{
+	cs_forward_t *f = task->state;
+	f->task = task;
+	f->host = task->kernel->settings;
+	f->names = f->host->adapter->headers;
+	uint64_t seed = (uint64_t)cs_now_us ();
+	const cs_router_options_t router = {.policy = CS_ROUTE_TWO_CHOICES,
+					    .zone = f->host->zone,
+					    .seed = seed,
+					    .eject_percent = EJECT_PERCENT};
+	const cs_retry_options_t retry = {
+		.percent = (uint32_t)(f->host->retry_ratio * BUDGET_PERCENT_OF), .seed = seed};
+	cs_fleet_init (&f->fleet);
+	cs_suspects_init (&f->suspects);
+	cs_router_init (&f->router, &router);
+	cs_retry_init (&f->retry, &retry);
+	cs_rng_init (&f->rng, seed);
+	ev_timer_init (&f->tick, on_tick, TICK_MS / 1000., TICK_MS / 1000.);
+	f->tick.data = f;
+	cs_status_t status = cs_http_init (&f->client, task->kernel->loop);
+	if (status == CS_OK)
+		status = cs_entry_start (f);
+	return status == CS_OK ? cs_status_start (f) : status;
+}
+
+static void
+start (cs_task_t *task)
+{
+	cs_forward_t *f = task->state;
+	ev_timer_start (task->kernel->loop, &f->tick);
+}
+
+static void
+take_serving (cs_forward_t *f, cs_serving_t *serving)
+{
+	if (f->serving)
+		cs_ref_put (&f->serving->ref);
+	f->serving = serving;
+	cs_ref_get (&serving->ref);
+	f->targets_stale = true;
+}
+
+static void
+take_backend (cs_forward_t *f, const cs_backend_msg_t *m)
+{
+	int64_t now = cs_now_ms ();
+	bool changed;
+	if (m->backend) {
+		cs_ref_get (&m->backend->ref);
+		changed = cs_fleet_set (&f->fleet, now, m->backend);
+	} else {
+		changed = cs_fleet_remove (&f->fleet, now, m->id);
+	}
+	if (!changed)
+		return;
+	f->targets_stale = true;
+	const cs_backend_t *b = m->backend;
+	cs_log_event (
+		"list", b ? "back_end" : "back_end_gone",
+		"id=%s state=%s group=%s epoch=%llu rank=%u membership=%s domain=%s staged=%s",
+		m->id, b && b->draining ? "draining" : "ready", b ? b->group : "",
+		b ? (unsigned long long)b->epoch : 0, b ? b->rank : 0,
+		b ? cs_member_state_name (b->state) : "-", b ? b->domain : "", b ? b->staged : "");
+}
+
+static void
+receive (cs_task_t *task, cs_msg_t *m)
+{
+	cs_forward_t *f = task->state;
+	const cs_state_msg_t *state = (const cs_state_msg_t *)m;
+	switch (m->kind) {
+	case CS_HOST_SERVING:
+		take_serving (f, ((cs_serving_msg_t *)m)->serving);
+		break;
+	case CS_HOST_BACKEND:
+		take_backend (f, (cs_backend_msg_t *)m);
+		break;
+	case CS_HOST_LIST_STATE:
+		f->listed |= state->yes;
+		f->list_away = !state->yes;
+		cs_fleet_reached (&f->fleet, cs_now_ms (), state->yes);
+		cs_log_event ("list", state->yes ? "regained" : "lost", "back_ends=%u",
+			      (unsigned)HASH_COUNT (f->fleet.entries));
+		break;
+	case CS_HOST_STOP:
+		if (!f->stopping_ms)
+			f->stopping_ms = cs_now_ms ();
+		break;
+	default:
+		break;
+	}
+}
+
+static void
+finish (cs_task_t *task)
+{
+	cs_forward_t *f = task->state;
+	ev_timer_stop (task->kernel->loop, &f->tick);
+	cs_http_finish (&f->client);
+	cs_entry_stop (f);
+	cs_status_stop (f);
+	cs_router_finish (&f->router);
+	cs_suspects_finish (&f->suspects);
+	cs_fleet_finish (&f->fleet);
+	if (f->serving)
+		cs_ref_put (&f->serving->ref);
+}
+
+static cs_plugin_t plugin = {
+	.name = "forward",
+	.profile = CS_PROFILE_HOSTED,
+	.state_size = sizeof (cs_forward_t),
+	.init = init,
+	.start = start,
+	.receive = receive,
+	.finish = finish,
+};
+
+__attribute__ ((constructor)) static void
+enlist (void)
+{
+	cs_plugin_register (&plugin);
+}
--- /dev/null
+++ b/packages/forward/src/forward.h
@@ -0,0 +1,173 @@
+/* The task "forward": takes callers' requests on a hosted platform and passes them on.
+ *
+ * A request's way runs in one direction, a file each: entry.c reads it, admit.c finds its
+ * route and team, dispatch.c chooses a back end, sending.c sends it there and reads the
+ * answer, verdict.c decides what follows, reply.c hands it to the caller. */
+#ifndef CS_FORWARD_H
+#define CS_FORWARD_H
+
+#include "cs/fleet.h"
+#include "cs/host.h"
+#include "cs/host_messages.h"
+#include "cs/http.h"
+#include "cs/httpd.h"
+#include "cs/outcome.h"
+#include "cs/retry.h"
+#include "cs/router.h"
+#include "cs/serving.h"
+#include "cs/sse.h"
+#include "cs/suspects.h"
+
+typedef struct cs_call cs_call_t;
+
+typedef struct {
+	cs_task_t *task;
+	const cs_host_t *host;
+	const cs_header_names_t *names;
+	cs_httpd_t callers;
+	cs_httpd_t status; /* readiness; in_progress is not used */
+	cs_httpd_t metrics;
+	cs_http_t client;
+	cs_serving_t *serving; /* NULL until the first one */
+	cs_fleet_t fleet;
+	bool listed;        /* the list has been read once */
+	bool list_away;     /* it can't be read now */
+	bool targets_stale; /* the fleet has changed since targets were made */
+	cs_router_t router;
+	cs_retry_t retry;
+	cs_suspects_t suspects;
+	cs_rng_t rng;
+	cs_call_t *calls;
+	ev_timer tick;
+	int64_t stopping_ms; /* when a planned stop began; 0: none */
+	bool stopped;
+} cs_forward_t;
+
+/* A header line, name and value; both owned. */
+typedef struct {
+	char *name;
+	char *value;
+} cs_header_t;
+
+typedef struct {
+	cs_header_t *items;
+	size_t n;
+	size_t cap;
+} cs_headers_t;
+
+void cs_headers_add (cs_headers_t *h, cs_str_t name, cs_str_t value);
+/* The first value; an empty view if there is none. */
+cs_str_t cs_headers_find (const cs_headers_t *h, const char *name);
+void cs_headers_clear (cs_headers_t *h);
+/* True for headers that concern one connection only, and are not passed on. */
+bool cs_header_is_hop (cs_str_t name);
+
+/* One attempt at a back end. */
+typedef struct {
+	cs_http_call_t http;
+	cs_call_t *call;
+	char *target; /* id of the back end */
+	uint64_t life;
+	cs_buf_t url;
+	cs_buf_t lines; /* header lines, each ended by NUL */
+	const char **headers;
+	cs_headers_t answer;
+	cs_buf_t body; /* of an answer that is no stream, or a stream's bytes before its first event
+			*/
+	int status;
+	bool is_stream; /* the answer's events are passed on as they come */
+	bool stalled;   /* cancelled, as nothing came in time */
+	bool timed_out; /* cancelled, as the request's time is over */
+	bool bad;       /* the answer is none that could be passed on */
+	ev_timer bound; /* until which the next sign of progress must come */
+	int64_t sent_us;
+	int64_t first_us; /* first event or byte of the answer; 0: none */
+	int64_t last_us;
+	uint32_t events;
+} cs_sending_t;
+
+typedef enum {
+	CS_CALL_READING,
+	CS_CALL_WAITING,  /* no head of an answer yet */
+	CS_CALL_ANSWERING /* the head has been given to the server */
+} cs_call_phase_t;
+
+/* One request of a caller. */
+struct cs_call {
+	cs_forward_t *forward;
+	struct MHD_Connection *connection;
+	cs_call_phase_t phase;
+	bool begun;
+	bool suspended;
+	bool gone;    /* the caller has left */
+	bool counted; /* among the server's requests in progress */
+	cs_httpd_leave_t leave;
+	char *method;
+	char *target; /* path and query as the caller sent them */
+	cs_headers_t headers;
+	cs_buf_t body;
+	bool too_large;
+	int64_t received_ms;
+	int64_t deadline_ms;   /* the caller's */
+	int64_t timeout_ms;    /* the earlier of that and the route's */
+	cs_serving_t *serving; /* the configuration it was admitted under */
+	const cs_serving_route_t *route;
+	const cs_team_t *team; /* NULL: a public route */
+	char *service;
+	uint32_t runs; /* attempts that ran or may have */
+	uint32_t tries;
+	char *tried[CS_OUTCOME_MAX_TRIES];
+	cs_sending_t *sending; /* the attempt under way */
+	ev_timer again;        /* before the next attempt */
+	cs_sse_t events;
+	bool has_events;
+	/* the answer */
+	bool has_head;
+	int status;
+	cs_headers_t answer;
+	cs_buf_t queue;
+	size_t taken;
+	bool ended;
+	bool complete;
+	const char *own_reason; /* of an own refusal or failure; NULL: a back end's answer */
+	uint32_t retry_after_ms;
+	cs_call_t *prev, *next;
+};
+
+/* entry.c: the servers. */
+cs_status_t cs_entry_start (cs_forward_t *f);
+void cs_entry_stop (cs_forward_t *f);
+/* status.c: readiness and metrics. */
+cs_status_t cs_status_start (cs_forward_t *f);
+void cs_status_stop (cs_forward_t *f);
+bool cs_forward_is_ready (const cs_forward_t *f);
+/* call.c */
+cs_call_t *cs_call_new (cs_forward_t *f, struct MHD_Connection *connection, const char *target);
+void cs_call_free (cs_call_t *c);
+cs_str_t cs_call_id (const cs_call_t *c);
+/* admit.c: finds route and team, or answers. */
+void cs_admit (cs_call_t *c);
+/* dispatch.c: sends the request to a back end, or refuses it. */
+void cs_dispatch (cs_call_t *c);
+/* targets.c: brings the router up to date with the fleet. */
+void cs_targets_refresh (cs_forward_t *f);
+/* The router's name of what serves the model of a service. */
+void cs_targets_service (cs_buf_t *out, const char *service, cs_str_t model);
+/* sending.c */
+cs_status_t cs_sending_start (cs_call_t *c, const char *target);
+/* Ends the attempt under way; nothing follows from it. */
+void cs_sending_abandon (cs_call_t *c);
+/* verdict.c: an attempt has ended; frees it. */
+void cs_verdict (cs_sending_t *s, const cs_attempt_t *result);
+/* reply.c */
+void cs_reply_own (cs_call_t *c, int status, const char *reason, uint32_t retry_after_ms);
+void cs_reply_head (cs_call_t *c, int status, cs_headers_t *headers);
+void cs_reply_body (cs_call_t *c, cs_str_t bytes);
+void cs_reply_end (cs_call_t *c, bool complete);
+enum MHD_Result cs_reply_serve (cs_call_t *c);
+void cs_reply_resume (cs_call_t *c);
+/* counts.c */
+void cs_counts_ended (const cs_call_t *c);
+void cs_counts_attempt (const cs_sending_t *s, const cs_attempt_t *result);
+
+#endif
--- /dev/null
+++ b/packages/forward/src/reply.c
@@ -0,0 +1,149 @@
+/* The answer's way to the caller. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "forward.h"
+
+enum {
+	BLOCK_BYTES = 4 << 10 /* given to the server at a time */
+};
+
+static size_t
+queued (const cs_call_t *c)
+{
+	return c->queue.n - c->taken;
+}
+
+static void
+suspend (cs_call_t *c)
+{
+	if (c->suspended)
+		return;
+	c->suspended = true;
+	MHD_suspend_connection (c->connection);
+}
+
+void
+cs_reply_resume (cs_call_t *c)
+{
+	if (!c->suspended)
+		return;
+	c->suspended = false;
+	MHD_resume_connection (c->connection);
+	cs_httpd_serve_soon (&c->forward->callers);
+}
+
+static ssize_t
+read_answer (void *data, uint64_t position, char *out, size_t max)
+{
+	cs_call_t *c = data;
+	size_t n = queued (c) < max ? queued (c) : max;
+	(void)position;
+	if (c->gone)
+		return MHD_CONTENT_READER_END_WITH_ERROR;
+	if (!n && c->ended)
+		return c->complete ? MHD_CONTENT_READER_END_OF_STREAM
+				   : MHD_CONTENT_READER_END_WITH_ERROR;
+	if (!n) {
+		suspend (c);
+		return 0;
+	}
+	memcpy (out, c->queue.p + c->taken, n);
+	c->taken += n;
+	if (!queued (c)) {
+		cs_buf_clear (&c->queue);
+		c->taken = 0;
+	}
+	return (ssize_t)n;
+}
+
+static void
+add_headers (const cs_call_t *c, struct MHD_Response *r)
+{
+	for (size_t i = 0; i < c->answer.n; i++) {
+		const cs_header_t *h = &c->answer.items[i];
+		if (!cs_header_is_hop (cs_str (h->name)) && *h->value)
+			MHD_add_response_header (r, h->name, h->value);
+	}
+	if (c->forward->stopping_ms)
+		MHD_add_response_header (r, "Connection", "close");
+}
+
+enum MHD_Result
+cs_reply_serve (cs_call_t *c)
+{
+	if (c->gone)
+		return MHD_NO;
+	if (c->phase == CS_CALL_ANSWERING)
+		return MHD_YES;
+	if (!c->has_head) {
+		suspend (c);
+		return MHD_YES;
+	}
+	bool whole = c->ended && c->complete;
+	struct MHD_Response *r = MHD_create_response_from_callback (
+		whole ? queued (c) : MHD_SIZE_UNKNOWN, BLOCK_BYTES, read_answer, c, NULL);
+	if (!r)
+		return MHD_NO;
+	c->phase = CS_CALL_ANSWERING;
+	add_headers (c, r);
+	enum MHD_Result result = MHD_queue_response (c->connection, (unsigned)c->status, r);
+	MHD_destroy_response (r);
+	return result;
+}
+
+void
+cs_reply_head (cs_call_t *c, int status, cs_headers_t *headers)
+{
+	c->has_head = true;
+	c->status = status;
+	cs_headers_clear (&c->answer);
+	for (size_t i = 0; i < headers->n; i++)
+		cs_headers_add (&c->answer, cs_str (headers->items[i].name),
+				cs_str (headers->items[i].value));
+	cs_reply_resume (c);
+}
+
+void
+cs_reply_body (cs_call_t *c, cs_str_t bytes)
+{
+	if (c->taken) {
+		cs_buf_consume (&c->queue, c->taken);
+		c->taken = 0;
+	}
+	if (bytes.n)
+		cs_buf_add (&c->queue, bytes);
+	cs_reply_resume (c);
+}
+
+void
+cs_reply_end (cs_call_t *c, bool complete)
+{
+	c->ended = true;
+	c->complete = complete;
+	cs_reply_resume (c);
+}
+
+void
+cs_reply_own (cs_call_t *c, int status, const char *reason, uint32_t retry_after_ms)
+{
+	const cs_header_names_t *names = c->forward->names;
+	char seconds[24];
+	cs_headers_t headers = {0};
+	cs_str_t id = cs_call_id (c);
+	c->own_reason = reason;
+	c->retry_after_ms = retry_after_ms;
+	if (id.n)
+		cs_headers_add (&headers, cs_str (names->request_id), id);
+	cs_headers_add (&headers, cs_str ("Content-Type"), cs_str ("text/plain"));
+	if (retry_after_ms) {
+		snprintf (seconds, sizeof seconds, "%u.%03u", retry_after_ms / 1000,
+			  retry_after_ms % 1000);
+		cs_headers_add (&headers, cs_str ("Retry-After"), cs_str (seconds));
+	}
+	cs_reply_head (c, status, &headers);
+	cs_headers_clear (&headers);
+	cs_reply_body (c, cs_str (reason));
+	cs_reply_end (c, true);
+}
--- /dev/null
+++ b/packages/forward/src/sending.c
@@ -0,0 +1,341 @@
+/* Sends a request to one back end and reads its answer. */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "cs/log.h"
+#include "forward.h"
+
+enum {
+	CONNECT_MS = 250,   /* a machine that is up answers within some ms */
+	MIN_FIRST_MS = 300, /* shortest wait for a first sign of an answer */
+	MIN_GAP_MS = 250,   /* and between events: some passes of a full engine */
+	MAX_ANSWER_BYTES = 8 << 20,
+	HEADER_LINE_EXTRA = 64
+};
+
+static struct ev_loop *
+loop_of (const cs_call_t *c)
+{
+	return c->forward->task->kernel->loop;
+}
+
+/* Another attempt could still follow this one. */
+static bool
+may_follow (const cs_call_t *c)
+{
+	return cs_serving_repeatable (c->route) && c->runs + 1 < c->route->attempts;
+}
+
+/* Time until which the answer, or a stream's first event, must have come. */
+static int64_t
+first_bound (const cs_call_t *c, int64_t now)
+{
+	int64_t left = c->timeout_ms - now;
+	int64_t ms = 2 * (int64_t)c->route->target_ms;
+	if (!may_follow (c))
+		return left;
+	ms = ms < MIN_FIRST_MS ? MIN_FIRST_MS : ms;
+	return ms < left ? ms : left;
+}
+
+static int64_t
+gap_bound (const cs_call_t *c, int64_t now)
+{
+	int64_t left = c->timeout_ms - now;
+	int64_t ms = c->route->gap_ms;
+	if (!may_follow (c) || !ms)
+		return left;
+	ms = ms < MIN_GAP_MS ? MIN_GAP_MS : ms;
+	return ms < left ? ms : left;
+}
+
+static void
+set_bound (cs_sending_t *s, int64_t ms)
+{
+	ev_timer_stop (loop_of (s->call), &s->bound);
+	ev_timer_set (&s->bound, ms > 0 ? (double)ms / 1000. : 0., 0.);
+	ev_timer_start (loop_of (s->call), &s->bound);
+}
+
+static void
+on_bound (struct ev_loop *loop, ev_timer *w, int events)
+{
+	cs_sending_t *s = w->data;
+	(void)loop;
+	(void)events;
+	if (cs_now_ms () >= s->call->timeout_ms)
+		s->timed_out = true;
+	else
+		s->stalled = true;
+	cs_http_cancel (&s->http);
+}
+
+static void
+add_line (cs_sending_t *s, size_t *n, const char *name, cs_str_t value)
+{
+	cs_buf_printf (&s->lines, "%s: %.*s", name, CS_STR_ARG (value));
+	cs_buf_add (&s->lines, cs_str_n ("", 1));
+	(*n)++;
+}
+
+/* Headers that are set here and not taken from the caller. */
+static bool
+is_own_header (const cs_header_names_t *names, const char *name)
+{
+	const char *const own[] = {names->deadline, names->key, names->team,
+				   names->expected_backend};
+	for (size_t i = 0; i < sizeof own / sizeof *own; i++)
+		if (!strcasecmp (own[i], name))
+			return true;
+	return false;
+}
+
+static void
+add_callers_headers (cs_sending_t *s, size_t *n)
+{
+	const cs_call_t *c = s->call;
+	const cs_header_names_t *names = c->forward->names;
+	bool resumes = c->has_events && c->events.tokens;
+	for (size_t i = 0; i < c->headers.n; i++) {
+		const cs_header_t *h = &c->headers.items[i];
+		if (cs_header_is_hop (cs_str (h->name)) || is_own_header (names, h->name) ||
+		    (resumes && !strcasecmp (h->name, names->last_event_id)))
+			continue;
+		add_line (s, n, h->name, cs_str (h->value));
+	}
+	if (!cs_headers_find (&c->headers, "Accept").n) {
+		/* libcurl adds one that the caller did not send. */
+		cs_buf_addz (&s->lines, "Accept:");
+		cs_buf_add (&s->lines, cs_str_n ("", 1));
+		(*n)++;
+	}
+	if (resumes) {
+		char id[24];
+		snprintf (id, sizeof id, "%" PRIu64, c->events.next - 1);
+		add_line (s, n, names->last_event_id, cs_str (id));
+	}
+}
+
+static void
+make_headers (cs_sending_t *s, int64_t now)
+{
+	const cs_call_t *c = s->call;
+	const cs_header_names_t *names = c->forward->names;
+	char left[24];
+	size_t n = 0;
+	add_callers_headers (s, &n);
+	snprintf (left, sizeof left, "%" PRId64, c->timeout_ms - now);
+	add_line (s, &n, names->deadline, cs_str (left));
+	add_line (s, &n, names->expected_backend, cs_str (s->target));
+	if (c->team)
+		add_line (s, &n, names->team, cs_str (c->team->name));
+	s->headers = cs_alloc ((n + 1) * sizeof *s->headers);
+	const char *p = s->lines.p;
+	for (size_t i = 0; i < n; i++, p += strlen (p) + 1)
+		s->headers[i] = p;
+}
+
+static void
+on_header (cs_http_call_t *http, cs_str_t name, cs_str_t value)
+{
+	cs_sending_t *s = http->data;
+	cs_headers_add (&s->answer, name, value);
+}
+
+static bool
+is_own (const cs_sending_t *s)
+{
+	cs_str_t id = cs_headers_find (&s->answer, s->call->forward->names->request_id);
+	return cs_str_eq (id, cs_call_id (s->call));
+}
+
+static bool
+is_signed (const cs_sending_t *s)
+{
+	return cs_headers_find (&s->answer, s->call->forward->names->signature).n > 0;
+}
+
+static void
+on_head (cs_http_call_t *http, int status, cs_str_t content_type)
+{
+	cs_sending_t *s = http->data;
+	s->status = status;
+	s->is_stream = s->call->route->kind == CS_KIND_STREAM && status == 200 &&
+		       cs_str_starts (content_type, "text/event-stream");
+	if (cs_headers_find (&s->answer, "Content-Encoding").n)
+		s->bad = true; /* callers ask for none: these are not the back end's bytes */
+	if (s->is_stream && (!is_own (s) || !is_signed (s)))
+		s->bad = true;
+	if (s->bad)
+		cs_http_cancel (http);
+}
+
+/* Passes whole events on; the head goes with the first one, so that until then the
+ * request can begin anew elsewhere. */
+static void
+take_events (cs_sending_t *s, cs_str_t bytes)
+{
+	cs_call_t *c = s->call;
+	cs_buf_t whole;
+	uint32_t before = c->events.tokens;
+	cs_buf_init (&whole);
+	if (cs_sse_push (&c->events, bytes, &whole) != CS_OK) {
+		s->bad = true;
+		cs_log_event ("forward", "bad_stream", "id=%.*s back_end=%s reason=\"%s\"",
+			      CS_STR_ARG (cs_call_id (c)), s->target, cs_last_message ());
+		cs_http_cancel (&s->http);
+	}
+	if (whole.n) {
+		s->last_us = cs_now_us ();
+		s->first_us = s->first_us ? s->first_us : s->last_us;
+		s->events += c->events.tokens - before;
+		if (!c->has_head)
+			cs_reply_head (c, s->status, &s->answer);
+		cs_reply_body (c, cs_buf_str (&whole));
+		set_bound (s, gap_bound (c, s->last_us / 1000));
+	}
+	cs_buf_finish (&whole);
+}
+
+static void
+on_body (cs_http_call_t *http, cs_str_t bytes)
+{
+	cs_sending_t *s = http->data;
+	if (s->bad)
+		return;
+	if (s->is_stream) {
+		take_events (s, bytes);
+		return;
+	}
+	if (!s->first_us)
+		s->first_us = cs_now_us ();
+	cs_buf_add (&s->body, bytes);
+	if (s->body.n > MAX_ANSWER_BYTES) {
+		s->bad = true;
+		cs_http_cancel (http);
+	}
+}
+
+static cs_attempt_end_t
+end_of (const cs_sending_t *s, cs_http_end_t end)
+{
+	if (s->timed_out)
+		return CS_ATTEMPT_TIMEOUT;
+	if (s->stalled)
+		return CS_ATTEMPT_SILENT;
+	if (s->bad)
+		return CS_ATTEMPT_BROKEN;
+	switch (end) {
+	case CS_HTTP_DONE:
+		/* A stream that ends amid an event is not whole. */
+		return s->is_stream && s->call->events.held.n ? CS_ATTEMPT_BROKEN
+							      : CS_ATTEMPT_ANSWERED;
+	case CS_HTTP_NOT_SENT:
+		return CS_ATTEMPT_NOT_SENT;
+	case CS_HTTP_SILENT:
+		return CS_ATTEMPT_SILENT;
+	default:
+		return CS_ATTEMPT_BROKEN;
+	}
+}
+
+static void
+on_end (cs_http_call_t *http, cs_http_end_t end, int status)
+{
+	cs_sending_t *s = http->data;
+	cs_attempt_t result = {
+		.end = end_of (s, end),
+		.status = status,
+		.is_signed = is_signed (s),
+		.is_own = is_own (s),
+		.declared_not_run =
+			cs_headers_find (&s->answer, s->call->forward->names->not_run).n > 0,
+	};
+	/* A connection that could not be made in time was silent, and nothing was sent. */
+	if (end == CS_HTTP_NOT_SENT && result.end != CS_ATTEMPT_TIMEOUT)
+		result.end = CS_ATTEMPT_NOT_SENT;
+	ev_timer_stop (loop_of (s->call), &s->bound);
+	s->call->sending = NULL;
+	cs_verdict (s, &result);
+}
+
+static void
+init_events (cs_call_t *c)
+{
+	uint64_t last = 0;
+	if (c->route->kind != CS_KIND_STREAM)
+		return;
+	if (!c->has_events) {
+		cs_str_u64 (cs_headers_find (&c->headers, c->forward->names->last_event_id), &last);
+		cs_sse_init_rising (&c->events, last);
+		c->has_events = true;
+		return;
+	}
+	/* The bytes of an event that was cut are sent again by the next back end. */
+	uint32_t tokens = c->events.tokens;
+	last = c->events.next - 1;
+	cs_sse_finish (&c->events);
+	cs_sse_init_rising (&c->events, last);
+	c->events.tokens = tokens;
+}
+
+static void
+init_http (cs_sending_t *s, const cs_backend_t *b)
+{
+	const cs_call_t *c = s->call;
+	cs_buf_printf (&s->url, "http://%s%s", b->address, c->target);
+	s->http = (cs_http_call_t){
+		.method = c->method,
+		.url = cs_buf_str (&s->url),
+		.body = cs_buf_str (&c->body),
+		.headers = s->headers,
+		.connect_ms = CONNECT_MS,
+		.idle_ms = (uint32_t)(c->timeout_ms - s->sent_us / 1000) + 1,
+		.not_after_ms = c->timeout_ms,
+		.ends_by_close = true,
+		.on_header = on_header,
+		.on_head = on_head,
+		.on_body = on_body,
+		.on_end = on_end,
+		.data = s,
+	};
+}
+
+cs_status_t
+cs_sending_start (cs_call_t *c, const char *target)
+{
+	cs_forward_t *f = c->forward;
+	const cs_backend_t *b = cs_fleet_find (&f->fleet, target);
+	int64_t now = cs_now_ms ();
+	if (!b)
+		return cs_fail (CS_NOT_FOUND, "back end %s is not listed", target);
+	if (now >= c->timeout_ms)
+		return cs_fail (CS_UNAVAILABLE, "the request's time is over");
+	cs_sending_t *s = cs_alloc (sizeof *s);
+	s->call = c;
+	s->target = cs_str_dup (cs_str (b->id));
+	s->life = b->epoch ? b->epoch : b->born;
+	s->sent_us = cs_now_us ();
+	ev_init (&s->bound, on_bound);
+	s->bound.data = s;
+	init_events (c);
+	make_headers (s, now);
+	init_http (s, b);
+	c->sending = s;
+	c->tried[c->tries++] = cs_str_dup (cs_str (b->id));
+	cs_router_begin (&f->router, now, s->target);
+	set_bound (s, first_bound (c, now));
+	if (cs_http_start (&f->client, &s->http) != CS_OK)
+		on_end (&s->http, CS_HTTP_NOT_SENT, 0);
+	return CS_OK;
+}
+
+void
+cs_sending_abandon (cs_call_t *c)
+{
+	if (c->sending)
+		cs_http_cancel (&c->sending->http);
+}
--- /dev/null
+++ b/packages/forward/src/status.c
@@ -0,0 +1,81 @@
+/* Readiness for the balancer, and metrics. */
+#include <string.h>
+
+#include "cs/counters.h"
+#include "cs/log.h"
+#include "forward.h"
+
+bool
+cs_forward_is_ready (const cs_forward_t *f)
+{
+	return f->serving && f->listed && !f->stopping_ms;
+}
+
+static enum MHD_Result
+answer (struct MHD_Connection *connection, unsigned status, const char *text, size_t n)
+{
+	struct MHD_Response *r =
+		MHD_create_response_from_buffer (n, (void *)(uintptr_t)text, MHD_RESPMEM_MUST_COPY);
+	if (!r)
+		return MHD_NO;
+	enum MHD_Result result = MHD_queue_response (connection, status, r);
+	MHD_destroy_response (r);
+	return result;
+}
+
+static enum MHD_Result
+on_ready (void *data, struct MHD_Connection *connection, const char *url, const char *method,
+	  const char *version, const char *part, size_t *n, void **state)
+{
+	const cs_forward_t *f = data;
+	(void)method;
+	(void)version;
+	(void)part;
+	(void)n;
+	(void)state;
+	if (strcmp (url, f->host->adapter->ready_path) != 0)
+		return answer (connection, 404, "", 0);
+	bool ready = cs_forward_is_ready (f);
+	return answer (connection, ready ? 200 : 503, ready ? "ready\n" : "not ready\n",
+		       ready ? 6 : 10);
+}
+
+static enum MHD_Result
+on_metrics (void *data, struct MHD_Connection *connection, const char *url, const char *method,
+	    const char *version, const char *part, size_t *n, void **state)
+{
+	cs_buf_t text;
+	(void)data;
+	(void)url;
+	(void)method;
+	(void)version;
+	(void)part;
+	(void)n;
+	(void)state;
+	cs_buf_init (&text);
+	cs_counters_print (&text);
+	enum MHD_Result result = answer (connection, 200, text.p ? text.p : "", text.n);
+	cs_buf_finish (&text);
+	return result;
+}
+
+cs_status_t
+cs_status_start (cs_forward_t *f)
+{
+	struct MHD_OptionItem options[] = {{MHD_OPTION_END, 0, NULL}};
+	struct ev_loop *loop = f->task->kernel->loop;
+	f->status.data = f;
+	f->metrics.data = f;
+	cs_status_t status =
+		cs_httpd_start (&f->status, loop, f->host->listen_ready, on_ready, options);
+	if (status != CS_OK)
+		return status;
+	return cs_httpd_start (&f->metrics, loop, f->host->listen_metrics, on_metrics, options);
+}
+
+void
+cs_status_stop (cs_forward_t *f)
+{
+	cs_httpd_stop (&f->status);
+	cs_httpd_stop (&f->metrics);
+}
--- /dev/null
+++ b/packages/forward/src/targets.c
@@ -0,0 +1,69 @@
+/* The router's targets: plain back ends, and heads of whole groups. */
+#include <string.h>
+
+#include "forward.h"
+
+enum {
+	QUEUE_FACTOR = 2 /* a back end queues about as many requests as it runs */
+};
+
+void
+cs_targets_service (cs_buf_t *out, const char *service, cs_str_t model)
+{
+	cs_buf_clear (out);
+	cs_buf_printf (out, "%s/%.*s", service, CS_STR_ARG (model));
+}
+
+static void
+set_target (cs_forward_t *f, const cs_backend_t *b, const char *name, uint32_t slots,
+	    uint64_t fence, bool serving)
+{
+	const cs_target_info_t info = {
+		.name = b->id,
+		.service = name,
+		.zone = b->zone,
+		.version = "",
+		.fence = fence,
+		.max_concurrent = slots * QUEUE_FACTOR,
+		.serving = serving,
+		.leaving = b->draining,
+		.reachable = true,
+	};
+	cs_router_set (&f->router, cs_now_ms (), &info);
+}
+
+static void
+refresh (cs_forward_t *f, const cs_backend_t *b)
+{
+	const cs_serving_service_t *service = cs_serving_service (f->serving, b->service);
+	cs_buf_t name;
+	cs_buf_init (&name);
+	if (service && service->n_models) {
+		const cs_serving_model_t *model = cs_serving_model (service, b->model);
+		bool whole = model && cs_fleet_whole (&f->fleet, b, model->group_size);
+		cs_targets_service (&name, b->service, cs_str (b->model));
+		set_target (f, b, name.p, service->slots, b->epoch, whole);
+	} else {
+		cs_targets_service (&name, b->service, cs_str (""));
+		set_target (f, b, name.p, b->slots, b->born, true);
+	}
+	cs_buf_finish (&name);
+}
+
+static bool
+is_listed (void *data, const char *name)
+{
+	const cs_forward_t *f = data;
+	return cs_fleet_find (&f->fleet, name) != NULL;
+}
+
+void
+cs_targets_refresh (cs_forward_t *f)
+{
+	if (!f->targets_stale || !f->serving)
+		return;
+	f->targets_stale = false;
+	cs_router_retain (&f->router, is_listed, f);
+	for (const cs_fleet_entry_t *e = NULL; (e = cs_fleet_next (&f->fleet, e));)
+		refresh (f, e->now);
+}
--- /dev/null
+++ b/packages/forward/src/verdict.c
@@ -0,0 +1,141 @@
+/* What follows from an attempt that has ended. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "cs/log.h"
+#include "forward.h"
+
+enum {
+	STATUS_BAD_GATEWAY = 502,
+	STATUS_UNAVAILABLE = 503,
+	STATUS_TIMEOUT = 504,
+	REFUSED_RETRY_MS = 300 /* another back end may take it then */
+};
+
+static void
+free_sending (cs_sending_t *s)
+{
+	cs_headers_clear (&s->answer);
+	cs_buf_finish (&s->url);
+	cs_buf_finish (&s->lines);
+	cs_buf_finish (&s->body);
+	free (s->headers);
+	free (s->target);
+	free (s);
+}
+
+/* What the router and the list of suspects learn from the attempt. */
+static void
+learn (const cs_sending_t *s, const cs_attempt_t *a)
+{
+	cs_forward_t *f = s->call->forward;
+	int64_t now = cs_now_ms ();
+	uint32_t running, waiting;
+	bool answered = a->end == CS_ATTEMPT_ANSWERED;
+	cs_route_result_t result = {.ok = answered && a->status < 500};
+	if (s->first_us)
+		result.first_byte_us = s->first_us - s->sent_us;
+	if (s->events > 1)
+		result.token_gap_us = (s->last_us - s->first_us) / (s->events - 1);
+	cs_router_end (&f->router, now, s->target, &result);
+	if (answered && cs_outcome_run (a) == CS_RUN_YES)
+		cs_suspects_answered (&f->suspects, s->target);
+	else if (!s->call->gone && a->end != CS_ATTEMPT_TIMEOUT)
+		cs_suspects_failed (&f->suspects, now, s->target, s->life);
+	if (f->host->adapter->decode_load (cs_headers_find (&s->answer, f->names->load), &running,
+					   &waiting))
+		cs_router_report (&f->router, s->target, now, running, waiting);
+}
+
+/* Takes from the budget of repeats; false if nothing is left, or no time. */
+static bool
+may_repeat (cs_call_t *c, int64_t *delay_ms)
+{
+	cs_retry_reason_t reason;
+	const cs_retry_attempt_t failed = {
+		.attempt = 1, .resumable = true, .deadline_ms = c->timeout_ms};
+	return cs_retry_decide (&c->forward->retry, cs_now_ms (), &failed, delay_ms, &reason) !=
+	       CS_RETRY_NO;
+}
+
+static void
+deliver (cs_sending_t *s, const cs_attempt_t *a)
+{
+	cs_call_t *c = s->call;
+	if (!c->has_head)
+		cs_reply_head (c, a->status, &s->answer);
+	cs_reply_body (c, cs_buf_str (&s->body));
+	cs_reply_end (c, true);
+}
+
+static void
+follow (cs_sending_t *s, const cs_attempt_t *a, cs_then_t then, int64_t delay_ms)
+{
+	cs_call_t *c = s->call;
+	struct ev_loop *loop = c->forward->task->kernel->loop;
+	switch (then) {
+	case CS_THEN_DELIVER:
+		deliver (s, a);
+		break;
+	case CS_THEN_AGAIN:
+	case CS_THEN_RESUME:
+		ev_timer_stop (loop, &c->again);
+		ev_timer_set (&c->again, (double)delay_ms / 1000., 0.);
+		ev_timer_start (loop, &c->again);
+		break;
+	case CS_THEN_REFUSE:
+		cs_reply_own (c, STATUS_UNAVAILABLE, "not-taken", REFUSED_RETRY_MS);
+		break;
+	case CS_THEN_FAIL:
+		cs_reply_own (c, STATUS_BAD_GATEWAY, "no-answer", 0);
+		break;
+	case CS_THEN_EXPIRE:
+		cs_reply_own (c, STATUS_TIMEOUT, "timeout", 0);
+		break;
+	case CS_THEN_CUT:
+		cs_reply_end (c, false);
+		break;
+	}
+}
+
+static void
+log_verdict (const cs_sending_t *s, const cs_attempt_t *a, cs_then_t then)
+{
+	static const char *const ends[] = {"answered", "not-sent", "broken", "silent", "timeout"};
+	static const char *const runs[] = {"no", "maybe", "yes"};
+	const cs_call_t *c = s->call;
+	if (then == CS_THEN_DELIVER && a->status < 500)
+		return; /* the line of the request's end says it */
+	cs_log_event ("forward", "attempt_ended",
+		      "id=%.*s back_end=%s end=%s status=%d ran=%s tries=%u runs=%u events=%u "
+		      "ms=%lld then=%s",
+		      CS_STR_ARG (cs_call_id (c)), s->target, ends[a->end], a->status,
+		      runs[cs_outcome_run (a)], c->tries, c->runs, s->events,
+		      (long long)((cs_now_us () - s->sent_us) / 1000), cs_then_name (then));
+}
+
+void
+cs_verdict (cs_sending_t *s, const cs_attempt_t *a)
+{
+	cs_call_t *c = s->call;
+	int64_t delay_ms = 0;
+	learn (s, a);
+	cs_counts_attempt (s, a);
+	if (!c->gone) {
+		c->runs += cs_outcome_run (a) != CS_RUN_NO;
+		cs_request_state_t state = {.route = c->route,
+					    .runs = c->runs,
+					    .tries = c->tries,
+					    .reached_caller = c->has_head,
+					    .may_repeat = true};
+		cs_then_t then = cs_outcome_then (a, &state);
+		if ((then == CS_THEN_AGAIN || then == CS_THEN_RESUME) &&
+		    !may_repeat (c, &delay_ms)) {
+			state.may_repeat = false;
+			then = cs_outcome_then (a, &state);
+		}
+		log_verdict (s, a, then);
+		follow (s, a, then, delay_ms);
+	}
+	free_sending (s);
+}
--- a/packages/gateway/src/exchange.c
+++ b/packages/gateway/src/exchange.c
@@ -2,7 +2,6 @@
 
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <utlist.h>
 
 #include "auth.h"
@@ -12,18 +11,10 @@
 	RETRY_AFTER_S = 1 /* while not ready or draining */
 };
 
-/* A caller that closes its sending side counts as gone too. Behind bytes of a next
- * request the end cannot be seen; then writing the answer tells. */
 static void
-watch_leave (struct ev_loop *loop, ev_io *w, int events)
+on_left (void *data)
 {
-	cs_exchange_t *x = w->data;
-	char byte;
-	ssize_t n = recv (w->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-	(void)events;
-	ev_io_stop (loop, w);
-	if (n <= 0)
-		cs_answer_gone (x);
+	cs_answer_gone (data);
 }
 
 static void
@@ -50,7 +41,7 @@
 	cs_problem_init (&x->problem);
 	if (cs_path_normalize (cs_str (target), &x->target) != CS_OK)
 		cs_problem_set (&x->problem, 400, "invalid-request", "%s", cs_last_message ());
-	ev_init (&x->leave, watch_leave);
+	x->leave.left = on_left;
 	x->leave.data = x;
 	DL_APPEND (g->exchanges, x);
 	return x;
@@ -83,7 +74,7 @@
 cs_exchange_free (cs_exchange_t *x, bool delivered)
 {
 	cs_gateway_t *g = x->gateway;
-	ev_io_stop (g->task->kernel->loop, &x->leave);
+	cs_httpd_leave_stop (&x->leave, g->task->kernel->loop);
 	export_spans (x);
 	cs_stats_end (x, delivered);
 	if (x->request)
@@ -204,7 +195,6 @@
 cs_exchange_admit (cs_exchange_t *x)
 {
 	cs_gateway_t *g = x->gateway;
-	struct ev_loop *loop = g->task->kernel->loop;
 	if (g->draining)
 		refuse_for_now (x, "draining", "this daemon is shutting down");
 	else if (!g->ready && x->route.kind != CS_ROUTE_OPERATOR)
@@ -220,11 +210,7 @@
 	cs_trace_child (&child, &x->span);
 	cs_span_export (&child, &x->span, "admission", x->received_us, cs_now_us (), NULL, 0);
 	cs_send (g->task, g->control, &cs_request_msg (CS_MSG_ADMIT, x->request)->msg);
-
-	const union MHD_ConnectionInfo *info =
-		MHD_get_connection_info (x->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-	ev_io_set (&x->leave, info->connect_fd, EV_READ);
-	ev_io_start (loop, &x->leave);
+	cs_httpd_leave_start (&x->leave, g->task->kernel->loop, x->connection);
 }
 
 void
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -38,7 +38,7 @@
 	bool begun;     /* the request's headers have been read */
 	bool suspended; /* the server leaves the connection alone */
 	bool gone;      /* the caller has left */
-	ev_io leave;    /* watches for that */
+	cs_httpd_leave_t leave;
 
 	cs_buf_t target;
 	cs_buf_t body;
--- a/packages/gateway/tests/support_control.c
+++ b/packages/gateway/tests/support_control.c
@@ -79,8 +79,8 @@
 }
 
 static cs_plugin_t fakes[] = {
-	{"control", 1, fake_init, NULL, control_receive, fake_finish, NULL},
-	{"engine", 1, fake_init, NULL, engine_receive, fake_finish, NULL},
+	{"control", 1, fake_init, NULL, control_receive, fake_finish, CS_PROFILE_OWN, NULL},
+	{"engine", 1, fake_init, NULL, engine_receive, fake_finish, CS_PROFILE_OWN, NULL},
 };
 
 static cs_token_t
--- /dev/null
+++ b/packages/host/include/cs/host_messages.h
@@ -0,0 +1,64 @@
+/* Messages between the tasks of a daemon on a hosted platform.
+ *
+ * Tasks: "store" (the adapter's, reads and writes the metadata store), "forward" (callers'
+ * requests), "former" (groups).
+ *
+ *   store  -> forward, former  SERVING, BACKEND, LIST_STATE
+ *   store  -> former           TURN, LEDGER, PROPOSED
+ *   former -> store            FOLLOW_LEDGER, PROPOSE
+ *   main   -> all              STOP */
+#ifndef CS_HOST_MESSAGES_H
+#define CS_HOST_MESSAGES_H
+
+#include "cs/fleet.h"
+#include "cs/kernel.h"
+#include "cs/serving.h"
+
+typedef enum {
+	CS_HOST_SERVING = 1000, /* a newer configuration is in force */
+	CS_HOST_BACKEND,
+	CS_HOST_LIST_STATE,
+	CS_HOST_TURN,
+	CS_HOST_LEDGER,
+	CS_HOST_PROPOSE,
+	CS_HOST_PROPOSED,
+	CS_HOST_STOP
+} cs_host_msg_kind_t;
+
+typedef struct {
+	cs_msg_t msg;
+	cs_serving_t *serving;
+} cs_serving_msg_t;
+
+/* A back end said something new, or is unlisted. */
+typedef struct {
+	cs_msg_t msg;
+	char *id;
+	cs_backend_t *backend; /* NULL: unlisted */
+} cs_backend_msg_t;
+
+/* LIST_STATE: the list can be read. TURN: this daemon plans the groups until until_ms. */
+typedef struct {
+	cs_msg_t msg;
+	bool yes;
+	int64_t until_ms;
+} cs_state_msg_t;
+
+/* LEDGER: a record, or (bytes.n 0) the end of the ledger was reached at `offset`.
+ * PROPOSE: append these records if the ledger ends at `offset`. PROPOSED: its status. */
+typedef struct {
+	cs_msg_t msg;
+	uint64_t offset;
+	cs_buf_t *records; /* PROPOSE */
+	size_t n_records;
+	cs_buf_t bytes; /* LEDGER */
+	cs_status_t status;
+} cs_ledger_msg_t;
+
+cs_serving_msg_t *cs_serving_msg (cs_serving_t *serving);
+/* Takes a reference of the back end. */
+cs_backend_msg_t *cs_backend_msg (cs_str_t id, cs_backend_t *backend);
+cs_state_msg_t *cs_state_msg (int kind, bool yes, int64_t until_ms);
+cs_ledger_msg_t *cs_ledger_msg (int kind, uint64_t offset, cs_str_t bytes, cs_status_t status);
+
+#endif
--- /dev/null
+++ b/packages/host/src/host_messages.c
@@ -0,0 +1,73 @@
+#include "cs/host_messages.h"
+
+#include <stdlib.h>
+
+static void
+drop_serving (cs_ref_t *ref)
+{
+	cs_serving_msg_t *m = (cs_serving_msg_t *)ref;
+	cs_ref_put (&m->serving->ref);
+	free (m);
+}
+
+static void
+drop_backend (cs_ref_t *ref)
+{
+	cs_backend_msg_t *m = (cs_backend_msg_t *)ref;
+	if (m->backend)
+		cs_ref_put (&m->backend->ref);
+	free (m->id);
+	free (m);
+}
+
+static void
+drop_ledger (cs_ref_t *ref)
+{
+	cs_ledger_msg_t *m = (cs_ledger_msg_t *)ref;
+	for (size_t i = 0; i < m->n_records; i++)
+		cs_buf_finish (&m->records[i]);
+	free (m->records);
+	cs_buf_finish (&m->bytes);
+	free (m);
+}
+
+cs_serving_msg_t *
+cs_serving_msg (cs_serving_t *serving)
+{
+	cs_serving_msg_t *m = cs_msg_new (sizeof *m, CS_HOST_SERVING, drop_serving);
+	cs_ref_get (&serving->ref);
+	m->serving = serving;
+	return m;
+}
+
+cs_backend_msg_t *
+cs_backend_msg (cs_str_t id, cs_backend_t *backend)
+{
+	cs_backend_msg_t *m = cs_msg_new (sizeof *m, CS_HOST_BACKEND, drop_backend);
+	if (backend)
+		cs_ref_get (&backend->ref);
+	m->backend = backend;
+	m->id = cs_str_dup (id);
+	return m;
+}
+
+cs_state_msg_t *
+cs_state_msg (int kind, bool yes, int64_t until_ms)
+{
+	cs_state_msg_t *m = cs_msg_new (sizeof *m, kind, cs_msg_free);
+	m->yes = yes;
+	m->until_ms = until_ms;
+	return m;
+}
+
+cs_ledger_msg_t *
+cs_ledger_msg (int kind, uint64_t offset, cs_str_t bytes, cs_status_t status)
+{
+	cs_ledger_msg_t *m = cs_msg_new (sizeof *m, kind, drop_ledger);
+	m->offset = offset;
+	m->status = status;
+	cs_buf_init (&m->bytes);
+	if (bytes.n)
+		cs_buf_add (&m->bytes, bytes);
+	return m;
+}
--- a/packages/http/include/cs/http.h
+++ b/packages/http/include/cs/http.h
@@ -9,7 +9,8 @@
 typedef struct cs_http_call cs_http_call_t;
 
 /* How a call ended. An answer whose end only the closing of the connection marks
- * counts as broken, because a cut could not be told from its end. */
+ * counts as broken, because a cut could not be told from its end, unless ends_by_close:
+ * then only a reset does. */
 typedef enum {
 	CS_HTTP_DONE,     /* a whole answer came */
 	CS_HTTP_NOT_SENT, /* no connection: no byte of the request left */
@@ -29,6 +30,7 @@
 	uint32_t total_ms;          /* 0: no bound but idle_ms */
 	int64_t not_after_ms;       /* cs_now_ms clock; not sent later than this; 0: no bound */
 	bool fresh;                 /* open a new connection instead of an idle one */
+	bool ends_by_close;         /* an answer may end by the closing of its connection */
 	/* All may be NULL but on_end. The on_header calls come first, then on_head once,
 	 * then on_body; on_end is last, and the call's memory is the caller's again. */
 	void (*on_head) (cs_http_call_t *call, int status, cs_str_t content_type);
--- a/packages/http/include/cs/sse.h
+++ b/packages/http/include/cs/sse.h
@@ -19,11 +19,14 @@
 	uint32_t tokens; /* whole events with an id so far */
 	bool has_id;     /* of the event being read */
 	bool ends;
-	bool done; /* "data: [DONE]" came */
+	bool done;   /* "data: [DONE]" came */
+	bool rising; /* ids need not be consecutive; no event ends the stream */
 } cs_sse_t;
 
 /* first: position of the first token, from 1. */
 void cs_sse_init (cs_sse_t *s, uint64_t first);
+/* For streams whose ids only rise: `next` is one above the last id passed on. */
+void cs_sse_init_rising (cs_sse_t *s, uint64_t last);
 void cs_sse_finish (cs_sse_t *s);
 /* Appends to out the events that the bytes make whole; nothing behind "data: [DONE]".
  * CS_INVALID for a token out of order, CS_EXHAUSTED for an event that is too long. */
--- a/packages/http/src/http.c
+++ b/packages/http/src/http.c
@@ -82,7 +82,8 @@
 {
 	if (t->cancelled)
 		return CS_HTTP_CANCELLED;
-	return result == CURLE_OK && t->framed ? CS_HTTP_DONE : CS_HTTP_BROKEN;
+	bool whole = t->framed || (t->call->ends_by_close && t->status);
+	return result == CURLE_OK && whole ? CS_HTTP_DONE : CS_HTTP_BROKEN;
 }
 
 /* Ends the calls that libcurl has finished. */
--- a/packages/http/src/sse.c
+++ b/packages/http/src/sse.c
@@ -10,6 +10,13 @@
 	s->next = first;
 }
 
+void
+cs_sse_init_rising (cs_sse_t *s, uint64_t last)
+{
+	cs_sse_init (s, last + 1);
+	s->rising = true;
+}
+
 void
 cs_sse_finish (cs_sse_t *s)
 {
@@ -34,15 +41,16 @@
 	cs_str_t value;
 	uint64_t id;
 	if (field (line, "data", &value)) {
-		s->ends |= cs_str_is (value, "[DONE]");
+		s->ends |= !s->rising && cs_str_is (value, "[DONE]");
 		return CS_OK;
 	}
 	if (!field (line, "id", &value))
 		return CS_OK;
-	if (!cs_str_u64 (value, &id) || id != s->next)
+	if (!cs_str_u64 (value, &id) || (s->rising ? id < s->next : id != s->next))
 		return cs_fail (CS_INVALID, "token %.*s came where %llu was due",
 				CS_STR_ARG (value), (unsigned long long)s->next);
 	s->has_id = true;
+	s->next = id;
 	return CS_OK;
 }
 
--- a/packages/httpd/include/cs/httpd.h
+++ b/packages/httpd/include/cs/httpd.h
@@ -31,5 +31,19 @@
 void cs_httpd_serve (cs_httpd_t *h);
 /* Has the server run soon, for connections that were resumed. */
 void cs_httpd_serve_soon (cs_httpd_t *h);
+/* Watches for a caller that leaves while its request is worked on. One that closes its
+ * sending side counts as gone too. Behind bytes of a next request the end cannot be seen;
+ * then writing the answer tells. */
+typedef struct {
+	ev_io io;
+	void (*left) (void *data);
+	void *data;
+} cs_httpd_leave_t;
+
+/* left is called once at most. */
+void cs_httpd_leave_start (cs_httpd_leave_t *l, struct ev_loop *loop,
+			   struct MHD_Connection *connection);
+/* May be called on zeroed memory. */
+void cs_httpd_leave_stop (cs_httpd_leave_t *l, struct ev_loop *loop);
 
 #endif
--- a/packages/kernel/include/cs/kernel.h
+++ b/packages/kernel/include/cs/kernel.h
@@ -24,6 +24,12 @@
 	struct cs_msg *next;
 } cs_msg_t;
 
+/* Kinds of platform; a daemon runs the plug-ins of one of them. */
+typedef enum {
+	CS_PROFILE_OWN,   /* the project's own interface: log service, VM list */
+	CS_PROFILE_HOSTED /* a platform behind an adapter: see platform/ */
+} cs_profile_t;
+
 /* A plug-in: the functions of one kind of task. */
 typedef struct cs_plugin {
 	const char *name; /* also the task's name and the prefix of its log lines */
@@ -34,6 +40,7 @@
 	void (*start) (cs_task_t *task);
 	void (*receive) (cs_task_t *task, cs_msg_t *msg);
 	void (*finish) (cs_task_t *task);
+	cs_profile_t profile;   /* kind of platform that needs this task */
 	struct cs_plugin *next; /* set by cs_plugin_register */
 } cs_plugin_t;
 
@@ -46,7 +53,8 @@
 
 struct cs_kernel {
 	struct ev_loop *loop;
-	const void *settings; /* cs_settings_t of the daemon */
+	const void *settings; /* of the daemon: cs_settings_t or cs_host_t, by the profile */
+	cs_profile_t profile; /* CS_PROFILE_OWN unless set before the start */
 	cs_task_t *tasks;
 	cs_msg_t *head, *tail; /* undelivered messages */
 	ev_prepare deliver;
@@ -57,7 +65,7 @@
 void cs_plugin_register (cs_plugin_t *plugin);
 
 void cs_kernel_init (cs_kernel_t *k, const void *settings);
-/* Makes a task of every registered plug-in; stops at the first that fails. */
+/* Makes a task of every registered plug-in of the profile; stops at the first that fails. */
 cs_status_t cs_kernel_start (cs_kernel_t *k);
 /* Runs until cs_kernel_stop. */
 void cs_kernel_run (cs_kernel_t *k);
--- a/packages/kernel/src/kernel.c
+++ b/packages/kernel/src/kernel.c
@@ -72,6 +72,8 @@
 {
 	cs_task_t **end = &k->tasks;
 	for (cs_plugin_t *p = plugins; p; p = p->next) {
+		if (p->profile != k->profile)
+			continue;
 		cs_task_t *t = cs_alloc (sizeof *t);
 		t->kernel = k;
 		t->plugin = p;
--- a/packages/kernel/src/log.c
+++ b/packages/kernel/src/log.c
@@ -3,7 +3,12 @@
 #include <log4c.h>
 #include <stdarg.h>
 #include <stdio.h>
+#include <string.h>
 #include <time.h>
+#include <unistd.h>
+
+#include "cs/counters.h"
+#include "cs/kernel.h"
 
 enum {
 	LINE_BYTES = 1024
@@ -17,6 +22,16 @@
 };
 
 static log4c_category_t *category;
+static int log_fd = STDERR_FILENO;
+
+static struct {
+	int64_t second; /* of the lines counted */
+	uint32_t lines;
+	uint32_t dropped; /* not yet said */
+} events;
+
+static cs_counter_t dropped_total = {.name = "cs_log_lines_dropped_total",
+				     .help = "Log lines beyond the bound or not taken."};
 
 /* One line: UTC time, level, daemon, sentence. */
 static const char *
@@ -40,21 +55,26 @@
 static int
 append_line (log4c_appender_t *appender, const log4c_logging_event_t *e)
 {
+	size_t n = strlen (e->evt_rendered_msg);
+	ssize_t written = write (log_fd, e->evt_rendered_msg, n);
 	(void)appender;
-	return fputs (e->evt_rendered_msg, stderr);
+	if (written != (ssize_t)n)
+		cs_count (&dropped_total, 1);
+	return written < 0 ? -1 : (int)written;
 }
 
-static const log4c_appender_type_t stderr_type = {.name = "stderr", .append = append_line};
+static const log4c_appender_type_t line_type = {.name = "lines", .append = append_line};
 
 cs_status_t
-cs_log_init (const char *daemon, cs_log_level_t level)
+cs_log_init (const char *daemon, cs_log_level_t level, int fd)
 {
+	log_fd = fd;
 	log4c_layout_type_set (&line_layout);
 	if (log4c_init ())
 		return cs_fail (CS_INTERNAL, "log4c cannot be started");
 	category = log4c_category_get (daemon);
 	log4c_appender_t *appender = log4c_appender_get (daemon);
-	log4c_appender_set_type (appender, &stderr_type);
+	log4c_appender_set_type (appender, &line_type);
 	log4c_layout_t *layout = log4c_layout_get ("cornelspindle");
 	log4c_layout_set_type (layout, &line_layout);
 	log4c_appender_set_layout (appender, layout);
@@ -84,3 +104,37 @@
 	va_end (ap);
 	log4c_category_log (category, priorities[level], "%s: %s", part, sentence);
 }
+
+/* True if another line of this second is within the bound. */
+static bool
+admit_event (void)
+{
+	int64_t second = cs_now_ms () / 1000;
+	if (second != events.second) {
+		events.second = second;
+		events.lines = 0;
+	}
+	if (events.lines++ < CS_LOG_EVENTS_PER_S)
+		return true;
+	events.dropped++;
+	cs_count (&dropped_total, 1);
+	return false;
+}
+
+void
+cs_log_event (const char *part, const char *event, const char *format, ...)
+{
+	char fields[LINE_BYTES];
+	char missed[40] = "";
+	va_list ap;
+	if (!category || !admit_event ())
+		return;
+	va_start (ap, format);
+	vsnprintf (fields, sizeof fields, format, ap);
+	va_end (ap);
+	if (events.dropped)
+		snprintf (missed, sizeof missed, " dropped_before=%u", (unsigned)events.dropped);
+	events.dropped = 0;
+	log4c_category_log (category, LOG4C_PRIORITY_INFO, "%s: event=%s %s%s", part, event, fields,
+			    missed);
+}
