--- a/packages/decide/include/cs/fleet.h
+++ b/packages/decide/include/cs/fleet.h
@@ -74,6 +74,7 @@
 /* Drops entries whose grace is over; false if there were none. */
 bool cs_fleet_tick (cs_fleet_t *f, int64_t now_ms);
 const cs_backend_t *cs_fleet_find (const cs_fleet_t *f, const char *id);
+const cs_fleet_entry_t *cs_fleet_entry (const cs_fleet_t *f, const char *id);
 /* Iteration: NULL gives the first, NULL at the end. */
 const cs_fleet_entry_t *cs_fleet_next (const cs_fleet_t *f, const cs_fleet_entry_t *at);
 /* Members of the head's group, itself included, that are ready under its name and number. */
--- a/packages/decide/include/cs/formation.h
+++ b/packages/decide/include/cs/formation.h
@@ -25,6 +25,7 @@
 
 enum {
 	CS_FORMATION_ORDER_LATE_MS = 12500, /* the platform: an order may take effect 12 s late */
+	CS_FORMATION_SILENT_PROBES = 2,     /* in a row: one may be lost on the way */
 	CS_FORMATION_HEAD_GONE_MS = 8000    /* a stall (4 s) and the list's lag (3.6 s) */
 };
 
@@ -46,8 +47,14 @@
 	int64_t closing_since_ms;
 	int64_t head_missing_ms; /* since when the head is unlisted; 0: listed */
 	int64_t probed_ms;
-	bool head_ended;    /* nothing of it runs at its address any more */
-	int64_t *joined_ms; /* by member: when the last join order was sent; 0: never */
+	int64_t suspected_ms; /* when a daemon last said that it doesn't answer; 0: not since it was
+			       * found sound */
+	uint32_t probes;      /* rounds of probes since then */
+	int64_t relisted_ms;  /* when a missing member was listed again */
+	bool *missing;        /* by member: it was unlisted at the last plan */
+	uint32_t *silent;     /* by member: probes in a row that it did not answer */
+	bool head_ended;      /* nothing of it runs at its address any more */
+	int64_t *joined_ms;   /* by member: when the last join order was sent; 0: never */
 	UT_hash_handle hh;
 } cs_band_t;
 
@@ -57,7 +64,7 @@
 	CS_FORM_OPEN,
 	CS_FORM_CLOSE,
 	CS_FORM_STAGE,
-	CS_FORM_PROBE /* ask for the report of a head that is unlisted */
+	CS_FORM_PROBE /* ask a member for its report */
 } cs_form_kind_t;
 
 /* One action; its pointers are valid until the next call on the formation or the fleet. */
@@ -72,6 +79,7 @@
 } cs_form_action_t;
 
 typedef struct cs_assignment cs_assignment_t;
+typedef struct cs_staging cs_staging_t;
 
 typedef struct {
 	cs_band_t *bands;             /* uthash by epoch */
@@ -81,6 +89,10 @@
 	int64_t started_ms; /* when this daemon began to plan */
 	int64_t loads_ms;   /* when load_tokens was brought up to date */
 	double load_tokens; /* loads that may begin */
+	int64_t eager_until_ms;
+	cs_staging_t *staging; /* uthash by back end: orders to stage weights */
+	size_t listed;         /* back ends in the list at the last plan */
+	int64_t listed_ms;     /* when their number changed last */
 	cs_form_action_t *actions;
 	size_t n_actions;
 	size_t cap_actions;
@@ -88,8 +100,10 @@
 
 void cs_formation_init (cs_formation_t *f);
 void cs_formation_finish (cs_formation_t *f);
-/* Begins to plan: forgets all, as nothing is known of the orders of others. */
-void cs_formation_begin (cs_formation_t *f, int64_t now_ms);
+/* Begins to plan: forgets all, as nothing is known of the orders of others. While the whole
+ * system starts for the first time, until eager_until_ms, loads are not spread over time:
+ * no request waits for the weight store yet. */
+void cs_formation_begin (cs_formation_t *f, int64_t now_ms, int64_t eager_until_ms);
 /* Takes in a Form record: the members belong to this group from now on. */
 void cs_formation_fold (cs_formation_t *f, int64_t now_ms, uint64_t epoch, const char *name,
 			const char *service, const char *model, const char *const *members,
@@ -102,7 +116,17 @@
 const char *cs_formation_address (const cs_formation_t *f, const char *id);
 /* An open order was answered; one that was refused had no effect. */
 void cs_formation_opened (cs_formation_t *f, uint64_t epoch, bool accepted);
-/* What a probe of an unlisted head showed: that nothing of it runs, or that it lives. */
-void cs_formation_probed (cs_formation_t *f, uint64_t epoch, bool ended, cs_member_state_t state);
+/* A daemon has noticed that the group doesn't answer: its members are probed. */
+void cs_formation_suspect (cs_formation_t *f, int64_t now_ms, uint64_t epoch);
+
+typedef enum {
+	CS_PROBE_SILENT,
+	CS_PROBE_ENDED, /* nothing of that back end runs at its address */
+	CS_PROBE_MOVED, /* it is no member of this group any more */
+	CS_PROBE_MEMBER /* it is, in the state given */
+} cs_probe_t;
+
+void cs_formation_probed (cs_formation_t *f, int64_t now_ms, uint64_t epoch, const char *id,
+			  cs_probe_t result, cs_member_state_t state);
 
 #endif
--- a/packages/decide/include/cs/suspects.h
+++ b/packages/decide/include/cs/suspects.h
@@ -29,7 +29,8 @@
 
 void cs_suspects_init (cs_suspects_t *s);
 void cs_suspects_finish (cs_suspects_t *s);
-void cs_suspects_failed (cs_suspects_t *s, int64_t now_ms, const char *id, uint64_t life);
+/* True if it was none already. */
+bool cs_suspects_failed (cs_suspects_t *s, int64_t now_ms, const char *id, uint64_t life);
 void cs_suspects_answered (cs_suspects_t *s, const char *id);
 bool cs_suspects_has (const cs_suspects_t *s, int64_t now_ms, const char *id, uint64_t life);
 /* Ids of all suspects into out; returns how many, max at most. */
--- a/packages/decide/src/fleet.c
+++ b/packages/decide/src/fleet.c
@@ -132,11 +132,18 @@
 	return changed;
 }
 
-const cs_backend_t *
-cs_fleet_find (const cs_fleet_t *f, const char *id)
+const cs_fleet_entry_t *
+cs_fleet_entry (const cs_fleet_t *f, const char *id)
 {
 	cs_fleet_entry_t *e;
 	HASH_FIND_STR (f->entries, id, e);
+	return e;
+}
+
+const cs_backend_t *
+cs_fleet_find (const cs_fleet_t *f, const char *id)
+{
+	const cs_fleet_entry_t *e = cs_fleet_entry (f, id);
 	return e ? e->now : NULL;
 }
 
--- a/packages/decide/src/formation.c
+++ b/packages/decide/src/formation.c
@@ -14,6 +14,8 @@
 	b->model = cs_str_dup (cs_str (model));
 	b->members = cs_alloc (n * sizeof *b->members);
 	b->joined_ms = cs_alloc (n * sizeof *b->joined_ms);
+	b->missing = cs_alloc (n * sizeof *b->missing);
+	b->silent = cs_alloc (n * sizeof *b->silent);
 	b->n = n;
 	for (size_t i = 0; i < n; i++)
 		b->members[i] = cs_str_dup (cs_str (members[i]));
@@ -27,6 +29,8 @@
 		free (b->members[i]);
 	free (b->members);
 	free (b->joined_ms);
+	free (b->missing);
+	free (b->silent);
 	free (b->name);
 	free (b->service);
 	free (b->model);
@@ -48,6 +52,7 @@
 {
 	cs_assignment_t *a, *next_a;
 	cs_band_t *b, *next_b;
+	cs_staging_t *s, *next_s;
 	HASH_ITER (hh, f->assignments, a, next_a)
 	{
 		HASH_DEL (f->assignments, a);
@@ -60,6 +65,13 @@
 		HASH_DEL (f->bands, b);
 		cs_band_free (b);
 	}
+	HASH_ITER (hh, f->staging, s, next_s)
+	{
+		HASH_DEL (f->staging, s);
+		free (s->id);
+		free (s->model);
+		free (s);
+	}
 	forget_proposed (f);
 	f->n_actions = 0;
 }
@@ -78,12 +90,13 @@
 }
 
 void
-cs_formation_begin (cs_formation_t *f, int64_t now_ms)
+cs_formation_begin (cs_formation_t *f, int64_t now_ms, int64_t eager_until_ms)
 {
 	forget (f);
 	f->started_ms = now_ms;
 	f->loads_ms = now_ms;
 	f->load_tokens = 0;
+	f->eager_until_ms = eager_until_ms;
 }
 
 cs_band_t *
@@ -155,19 +168,65 @@
 	return a;
 }
 
+const cs_staging_t *
+cs_formation_staging (const cs_form_view_t *v, const cs_backend_t *b)
+{
+	enum {
+		STAGING_MS = 30000 /* twice the longest load */
+	};
+	cs_staging_t *s;
+	HASH_FIND_STR (v->f->staging, b->id, s);
+	if (!s || v->now_ms - s->ordered_ms >= STAGING_MS || !strcmp (b->staged, s->model))
+		return NULL;
+	return s;
+}
+
+void
+cs_formation_note_staging (cs_form_view_t *v, const char *id, const char *model)
+{
+	cs_staging_t *s;
+	HASH_FIND_STR (v->f->staging, id, s);
+	if (!s) {
+		s = cs_alloc (sizeof *s);
+		s->id = cs_str_dup (cs_str (id));
+		HASH_ADD_KEYPTR (hh, v->f->staging, s->id, strlen (s->id), s);
+	}
+	free (s->model);
+	s->model = cs_str_dup (cs_str (model));
+	s->ordered_ms = v->now_ms;
+}
+
+bool
+cs_formation_is_down (const cs_form_view_t *v, const cs_fleet_entry_t *e)
+{
+	enum {
+		DOWN_MS = 6000 /* one that stays silent is unlisted by then */
+	};
+	cs_assignment_t *a;
+	HASH_FIND_STR (v->f->assignments, e->now->id, a);
+	return a && a->down_ms && e->said_ms <= a->down_ms && v->now_ms - a->down_ms < DOWN_MS;
+}
+
 bool
 cs_formation_may_load (cs_form_view_t *v, const cs_serving_service_t *service)
 {
+	enum {
+		BURST_PERCENT = 125 /* of a second's loads: with five seconds' more it is still
+				     * within the platform's ceiling for five seconds */
+	};
 	cs_formation_t *f = v->f;
 	double rate = service->loads_per_s;
+	double burst = rate * BURST_PERCENT / 100.;
+	v->loading++;
+	if (v->now_ms < f->eager_until_ms)
+		return true;
 	f->load_tokens += rate * (double)(v->now_ms - f->loads_ms) / 1000.;
-	if (f->load_tokens > rate)
-		f->load_tokens = rate;
+	if (f->load_tokens > burst)
+		f->load_tokens = burst;
 	f->loads_ms = v->now_ms;
 	if (f->load_tokens < 1.)
 		return false;
 	f->load_tokens -= 1.;
-	v->loading++;
 	return true;
 }
 
@@ -196,15 +255,61 @@
 }
 
 void
-cs_formation_probed (cs_formation_t *f, uint64_t epoch, bool ended, cs_member_state_t state)
+cs_formation_suspect (cs_formation_t *f, int64_t now_ms, uint64_t epoch)
 {
 	cs_band_t *b;
 	HASH_FIND (hh, f->bands, &epoch, sizeof epoch, b);
-	if (!b)
+	if (!b || b->suspected_ms)
+		return;
+	b->suspected_ms = now_ms;
+	b->probes = 0;
+}
+
+static void
+note_down (cs_formation_t *f, int64_t now_ms, const char *id)
+{
+	cs_assignment_t *a;
+	HASH_FIND_STR (f->assignments, id, a);
+	if (a)
+		a->down_ms = now_ms;
+}
+
+static size_t
+index_of (const cs_band_t *b, const char *id)
+{
+	size_t i = 0;
+	while (i < b->n && strcmp (b->members[i], id) != 0)
+		i++;
+	return i;
+}
+
+/* A head that answers shows that its group may serve, or that it can't. */
+static void
+probed_head (cs_band_t *b, cs_probe_t result, cs_member_state_t state)
+{
+	bool serves = state == CS_MEMBER_OPEN || state == CS_MEMBER_CLOSING;
+	if (result == CS_PROBE_ENDED || result == CS_PROBE_MOVED)
+		b->head_ended = true;
+	else if (result == CS_PROBE_MEMBER && serves)
+		b->head_missing_ms = 0; /* it lives: the silence begins anew */
+	else if (result == CS_PROBE_MEMBER && !b->open_unanswered)
+		b->head_ended = true;
+}
+
+void
+cs_formation_probed (cs_formation_t *f, int64_t now_ms, uint64_t epoch, const char *id,
+		     cs_probe_t result, cs_member_state_t state)
+{
+	cs_band_t *b;
+	HASH_FIND (hh, f->bands, &epoch, sizeof epoch, b);
+	size_t i = b ? index_of (b, id) : 0;
+	if (!b || i == b->n)
 		return;
-	b->head_ended = ended;
-	if (!ended && (state == CS_MEMBER_OPEN || state == CS_MEMBER_CLOSING))
-		b->head_missing_ms = 0; /* it lives and serves: the silence begins anew */
-	else if (!ended && !b->open_unanswered)
-		b->head_ended = state != CS_MEMBER_JOINING;
+	b->silent[i] = result == CS_PROBE_SILENT ? b->silent[i] + 1 : 0;
+	if (result == CS_PROBE_ENDED || b->silent[i] >= CS_FORMATION_SILENT_PROBES)
+		note_down (f, now_ms, id);
+	if (i == 0 && b->head_missing_ms)
+		probed_head (b, result, state);
+	else if (i == 0 && result == CS_PROBE_ENDED)
+		b->head_ended = true;
 }
--- a/packages/decide/src/formation_impl.h
+++ b/packages/decide/src/formation_impl.h
@@ -7,7 +7,16 @@
 struct cs_assignment {
 	char *id;
 	cs_band_t *band;
-	char *address; /* where it was listed last; NULL: never since planning began */
+	int64_t down_ms; /* when it was found silent or ended; 0: never */
+	char *address;   /* where it was listed last; NULL: never since planning began */
+	UT_hash_handle hh;
+};
+
+/* A back end was ordered to stage weights. */
+struct cs_staging {
+	char *id;
+	char *model;
+	int64_t ordered_ms;
 	UT_hash_handle hh;
 };
 
@@ -35,6 +44,11 @@
 void cs_formation_tend (cs_form_view_t *v);
 /* New groups from back ends that are free, and staging for those that stay idle. */
 void cs_formation_gather (cs_form_view_t *v);
+/* The staging under way at the back end; NULL: none. */
+const cs_staging_t *cs_formation_staging (const cs_form_view_t *v, const cs_backend_t *b);
+/* True if the back end was found down and has said nothing since. */
+bool cs_formation_is_down (const cs_form_view_t *v, const cs_fleet_entry_t *e);
+void cs_formation_note_staging (cs_form_view_t *v, const char *id, const char *model);
 /* Takes one load of the weight store's rate; false if none may begin now. */
 bool cs_formation_may_load (cs_form_view_t *v, const cs_serving_service_t *service);
 
--- a/packages/decide/src/formation_tend.c
+++ b/packages/decide/src/formation_tend.c
@@ -5,8 +5,11 @@
 
 enum {
 	REPEAT_MS = 1500, /* an order without visible effect is sent again; the list lags 0.8 s */
-	CLOSE_WAIT_MS = 4000, /* then the requests of a closing group are ended */
-	PROBE_MS = 1000,      /* between two probes of an unlisted head */
+	CLOSE_WAIT_MS = 4000,   /* then the requests of a closing group are ended */
+	SUSPECT_PROBE_MS = 400, /* between the rounds of probes of a suspected group */
+	SUSPECT_ROUNDS = CS_FORMATION_SILENT_PROBES,
+	SUSPECT_REST_MS = 2000, /* a group that was found sound is not probed again before that */
+	PROBE_MS = 1000,        /* between two probes of an unlisted head */
 	FORM_PATIENCE_MS =
 		30000 /* a group that is not ready by then is given up: a load takes 16 s */
 };
@@ -67,6 +70,31 @@
 	a->address = head->address;
 }
 
+/* Asks each member of a group that is said not to answer whether it lives. */
+static void
+probe_members (cs_form_view_t *v, cs_band_t *b)
+{
+	int64_t rest = b->probes >= SUSPECT_ROUNDS ? SUSPECT_REST_MS : SUSPECT_PROBE_MS;
+	if (!b->suspected_ms || v->now_ms - b->probed_ms < rest)
+		return;
+	if (b->probes >= SUSPECT_ROUNDS) {
+		b->suspected_ms = 0;
+		return;
+	}
+	b->probes++;
+	b->probed_ms = v->now_ms;
+	for (size_t i = 0; i < b->n; i++) {
+		const cs_backend_t *m = cs_fleet_find (v->fleet, b->members[i]);
+		if (!m)
+			continue;
+		cs_form_action_t *a =
+			cs_formation_act (v->f, CS_FORM_PROBE, "its group does not answer");
+		a->band = b;
+		a->id = m->id;
+		a->address = m->address;
+	}
+}
+
 static void
 tend_whole (cs_form_view_t *v, cs_band_t *b, const cs_serving_service_t *service)
 {
@@ -76,6 +104,7 @@
 		join (v, b, i, service);
 		ready += cs_band_has_ready (b, cs_fleet_find (v->fleet, b->members[i]));
 	}
+	probe_members (v, b);
 	if (ready == b->n && head->state == CS_MEMBER_READY)
 		open_head (v, b, head);
 }
@@ -85,7 +114,7 @@
 waits_for_work (const cs_form_view_t *v, const cs_band_t *b)
 {
 	for (size_t i = 0; i < b->n; i++)
-		if (!cs_fleet_find (v->fleet, b->members[i]))
+		if (!cs_fleet_find (v->fleet, b->members[i]) || b->silent[i])
 			return false;
 	return v->now_ms - b->closing_since_ms < CLOSE_WAIT_MS;
 }
--- a/packages/decide/src/formation_watch.c
+++ b/packages/decide/src/formation_watch.c
@@ -5,7 +5,8 @@
 #include "formation_impl.h"
 
 enum {
-	MAX_ADOPTED = 64 /* members of a group that the ledger no longer names */
+	MAX_ADOPTED = 64,  /* members of a group that the ledger no longer names */
+	RELISTED_MS = 2500 /* after a cut, entries are back within 2 s of the first one */
 };
 
 bool
@@ -23,13 +24,39 @@
 	       !strcmp (m->group, b->name);
 }
 
-/* A member is missing, drains, or has left what may be an open group. */
+/* A member that was found down and has said nothing since. */
+static bool
+is_down (const cs_form_view_t *v, const char *id)
+{
+	const cs_fleet_entry_t *e = cs_fleet_entry (v->fleet, id);
+	return e && cs_formation_is_down (v, e);
+}
+
+/* Notes which members are unlisted; true if one is, and not just others of a cut that has
+ * ended are listed again. */
+static bool
+misses_member (const cs_form_view_t *v, cs_band_t *b)
+{
+	bool missing = false;
+	for (size_t i = 0; i < b->n; i++) {
+		bool gone = !cs_fleet_find (v->fleet, b->members[i]);
+		if (b->missing[i] && !gone)
+			b->relisted_ms = v->now_ms;
+		b->missing[i] = gone;
+		missing |= gone;
+	}
+	return missing && !(b->relisted_ms && v->now_ms - b->relisted_ms < RELISTED_MS);
+}
+
+/* A member drains, is down, or has left what may be an open group. */
 static bool
 lacks_member (const cs_form_view_t *v, const cs_band_t *b)
 {
 	for (size_t i = 0; i < b->n; i++) {
 		const cs_backend_t *m = cs_fleet_find (v->fleet, b->members[i]);
-		if (!m || m->draining || m->epoch > b->epoch ||
+		if (!m)
+			continue;
+		if (m->draining || is_down (v, m->id) || m->epoch > b->epoch ||
 		    cs_formation_band_of (v->f, b->members[i]) != b)
 			return true;
 		if (b->opened && !cs_band_has_ready (b, m) && m->state != CS_MEMBER_BROKEN)
@@ -76,7 +103,8 @@
 		if (head->state == CS_MEMBER_OPEN)
 			b->open_unanswered = false;
 	}
-	b->lost = lacks_member (v, b) || (in_band (b, head) && head->state == CS_MEMBER_BROKEN);
+	b->lost = misses_member (v, b) || lacks_member (v, b) ||
+		  (in_band (b, head) && head->state == CS_MEMBER_BROKEN);
 	b->released = b->lost && (!b->opened || head_is_still (v, b));
 }
 
--- a/packages/decide/src/suspects.c
+++ b/packages/decide/src/suspects.c
@@ -40,7 +40,7 @@
 }
 
 /* Attempts that ran side by side fail together: they are one failure. */
-void
+bool
 cs_suspects_failed (cs_suspects_t *s, int64_t now_ms, const char *id, uint64_t life)
 {
 	cs_suspect_t *e = find (s, id);
@@ -53,12 +53,13 @@
 		e->strikes = 0;
 	e->life = life;
 	if (e->strikes && now_ms < e->until_ms)
-		return;
+		return false;
 	uint32_t doublings = e->strikes < MAX_DOUBLINGS ? e->strikes : MAX_DOUBLINGS;
 	e->strikes++;
 	e->until_ms = now_ms + ((int64_t)CS_SUSPECT_FIRST_MS << doublings);
 	if (e->until_ms > now_ms + CS_SUSPECT_MAX_MS)
 		e->until_ms = now_ms + CS_SUSPECT_MAX_MS;
+	return true;
 }
 
 void
--- a/packages/former/src/former.c
+++ b/packages/former/src/former.c
@@ -8,7 +8,8 @@
 #include "cs/record.pb-c.h"
 
 enum {
-	TICK_MS = 200 /* between two plans */
+	TICK_MS = 200,        /* between two plans */
+	FIRST_LOADS_MS = 7000 /* of a first start: callers come some 10 s after the machines */
 };
 
 static void
@@ -81,6 +82,18 @@
 	cs_send (f->task, f->store, &m->msg);
 }
 
+static void
+take_hint (cs_former_t *f, const cs_ledger_msg_t *m)
+{
+	Cs__Record *r = cs__record__unpack (NULL, m->bytes.n, (const uint8_t *)m->bytes.p);
+	if (!r || r->body_case != CS__RECORD__BODY_CRASH)
+		cs_log ("former", CS_LOG_WARN, "hint %" PRIu64 " can't be read", m->offset);
+	else
+		cs_formation_suspect (&f->formation, cs_now_ms (), r->crash->fence);
+	if (r)
+		cs__record__free_unpacked (r, NULL);
+}
+
 static void
 plan (cs_former_t *f)
 {
@@ -112,7 +125,7 @@
 		return;
 	}
 	if (!f->turn_until_ms || f->turn_until_ms < cs_now_ms ()) {
-		cs_formation_begin (&f->formation, cs_now_ms ());
+		cs_formation_begin (&f->formation, cs_now_ms (), f->eager_until_ms);
 		f->ledger_read = false;
 		f->appending = false;
 	}
@@ -135,6 +148,8 @@
 	cs_former_t *f = task->state;
 	f->task = task;
 	f->host = task->kernel->settings;
+	if (f->host->first_start)
+		f->eager_until_ms = cs_now_ms () + FIRST_LOADS_MS;
 	cs_fleet_init (&f->fleet);
 	cs_formation_init (&f->formation);
 	ev_timer_init (&f->tick, on_tick, TICK_MS / 1000., TICK_MS / 1000.);
@@ -184,6 +199,9 @@
 	case CS_HOST_LEDGER:
 		take_ledger (f, (cs_ledger_msg_t *)m);
 		break;
+	case CS_HOST_HINT:
+		take_hint (f, (cs_ledger_msg_t *)m);
+		break;
 	case CS_HOST_PROPOSED:
 		proposed (f, ((cs_ledger_msg_t *)m)->status);
 		break;
--- a/packages/former/src/former.h
+++ b/packages/former/src/former.h
@@ -17,9 +17,10 @@
 	cs_serving_t *serving; /* NULL until the first one */
 	cs_formation_t formation;
 	ev_timer tick;
-	int64_t turn_until_ms; /* 0: another daemon plans */
-	bool ledger_read;      /* folded to its end since the turn began */
-	bool appending;        /* a proposal is on its way: plan nothing upon it */
+	int64_t eager_until_ms; /* see cs_formation_begin */
+	int64_t turn_until_ms;  /* 0: another daemon plans */
+	bool ledger_read;       /* folded to its end since the turn began */
+	bool appending;         /* a proposal is on its way: plan nothing upon it */
 	uint64_t ledger_end;
 	uint64_t proposed_end; /* of the ledger once the proposal is in it */
 } cs_former_t;
--- a/packages/former/src/order.c
+++ b/packages/former/src/order.c
@@ -8,6 +8,7 @@
 #include "former.h"
 
 enum {
+	PROBE_MS = 350,  /* a back end that lives answers within some ms */
 	ORDER_MS = 1000, /* longest wait for an answer; the order may still be carried out */
 	CONNECT_MS = 500,
 	STATUS_MISDIRECTED = 421
@@ -41,13 +42,15 @@
 {
 	cs_former_t *f = o->former;
 	cs_report_t report;
+	cs_probe_t result = CS_PROBE_SILENT;
 	bool ended = refused || (end == CS_HTTP_DONE && status == STATUS_MISDIRECTED);
 	bool told = end == CS_HTTP_DONE && status == 200 &&
 		    f->host->adapter->decode_report (cs_buf_str (&o->reply), &report);
-	if (!ended && !told)
-		return; /* silence proves nothing */
-	bool moved = told && report.epoch != o->epoch;
-	cs_formation_probed (&f->formation, o->epoch, ended || moved,
+	if (ended)
+		result = CS_PROBE_ENDED;
+	else if (told)
+		result = report.epoch == o->epoch ? CS_PROBE_MEMBER : CS_PROBE_MOVED;
+	cs_formation_probed (&f->formation, cs_now_ms (), o->epoch, o->id, result,
 			     told ? (cs_member_state_t)report.state : CS_MEMBER_NONE);
 }
 
@@ -130,8 +133,8 @@
 		.body = cs_buf_str (&o->body),
 		.headers = o->headers,
 		.connect_ms = CONNECT_MS,
-		.idle_ms = ORDER_MS,
-		.total_ms = ORDER_MS,
+		.idle_ms = probe ? PROBE_MS : ORDER_MS,
+		.total_ms = probe ? PROBE_MS : ORDER_MS,
 		.not_after_ms = f->turn_until_ms, /* a daemon that was paused sends nothing stale */
 		.on_body = on_body,
 		.on_end = on_end,
--- a/packages/forward/src/verdict.c
+++ b/packages/forward/src/verdict.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "cs/log.h"
+#include "cs/record.pb-c.h"
 #include "forward.h"
 
 enum {
@@ -24,7 +25,35 @@
 	free (s);
 }
 
+/* Tells the planner of groups, wherever it runs, that a head does not answer. */
+static void
+give_hint (cs_forward_t *f, const cs_backend_t *head)
+{
+	Cs__Crash crash = CS__CRASH__INIT;
+	Cs__Record record = CS__RECORD__INIT;
+	cs_ledger_msg_t *m = cs_ledger_msg (CS_HOST_HINT, 0, cs_str (NULL), CS_OK);
+	crash.group = head->group;
+	crash.fence = head->epoch;
+	record.body_case = CS__RECORD__BODY_CRASH;
+	record.crash = &crash;
+	cs_buf_reserve (&m->bytes, cs__record__get_packed_size (&record));
+	m->bytes.n = cs__record__pack (&record, (uint8_t *)m->bytes.p);
+	cs_log_event ("forward", "hint", "group=%s epoch=%llu head=%s", head->group,
+		      (unsigned long long)head->epoch, head->id);
+	cs_send (f->task, cs_task_find (f->task->kernel, "store"), &m->msg);
+}
+
 /* What the router and the list of suspects learn from the attempt. */
+static void
+suspect (const cs_sending_t *s, const cs_attempt_t *a, int64_t now)
+{
+	cs_forward_t *f = s->call->forward;
+	const cs_backend_t *b = cs_fleet_find (&f->fleet, s->target);
+	bool first = cs_suspects_failed (&f->suspects, now, s->target, s->life);
+	if (first && a->end != CS_ATTEMPT_ANSWERED && b && b->epoch == s->life)
+		give_hint (f, b);
+}
+
 static void
 learn (const cs_sending_t *s, const cs_attempt_t *a)
 {
@@ -41,7 +70,7 @@
 	if (answered && cs_outcome_run (a) == CS_RUN_YES)
 		cs_suspects_answered (&f->suspects, s->target);
 	else if (!s->call->gone && a->end != CS_ATTEMPT_TIMEOUT)
-		cs_suspects_failed (&f->suspects, now, s->target, s->life);
+		suspect (s, a, now);
 	if (f->host->adapter->decode_load (cs_headers_find (&s->answer, f->names->load), &running,
 					   &waiting))
 		cs_router_report (&f->router, s->target, now, running, waiting);
--- a/packages/host/include/cs/host.h
+++ b/packages/host/include/cs/host.h
@@ -73,6 +73,7 @@
 	uint32_t lease_min_ms; /* shortest lease that the store grants */
 	double retry_ratio;    /* repeats to first sendings of a service, all daemons */
 	uint32_t max_connections;
+	bool first_start; /* the whole system starts for the first time */
 } cs_host_t;
 
 #endif
--- a/packages/host/include/cs/host_messages.h
+++ b/packages/host/include/cs/host_messages.h
@@ -5,7 +5,8 @@
  *
  *   store  -> forward, former  SERVING, BACKEND, LIST_STATE
  *   store  -> former           TURN, LEDGER, PROPOSED
- *   former -> store            FOLLOW_LEDGER, PROPOSE
+ *   former -> store            PROPOSE
+ *   forward -> store -> former HINT, through the store to the daemon that plans
  *   main   -> all              STOP */
 #ifndef CS_HOST_MESSAGES_H
 #define CS_HOST_MESSAGES_H
@@ -22,6 +23,7 @@
 	CS_HOST_LEDGER,
 	CS_HOST_PROPOSE,
 	CS_HOST_PROPOSED,
+	CS_HOST_HINT, /* cs_ledger_msg_t: a packed Crash record of a group that doesn't answer */
 	CS_HOST_STOP
 } cs_host_msg_kind_t;
 
