Keep requests off silent groups everywhere, and choose among all zones

Cause: each daemon learnt of a dead group by its own requests, which waited twice the latency objective; a zone's own groups were taken however loaded; a group whose head was lost stood for 11 s. Daemons now tell one another through the store, waits follow what answers took, and the planner asks all daemons whether a head still answers.

--- a/packages/decide/include/cs/fleet.h
+++ b/packages/decide/include/cs/fleet.h
@@ -52,6 +52,7 @@
 
 typedef struct {
 	cs_backend_t *now;
+	int64_t listed_ms; /* when this life of it was listed */
 	int64_t said_ms;   /* when this daemon read it */
 	int64_t lapsed_ms; /* its entry went while the list had just come back; 0: listed */
 	UT_hash_handle hh;
--- a/packages/decide/include/cs/formation.h
+++ b/packages/decide/include/cs/formation.h
@@ -9,7 +9,8 @@
  *   epoch. Once it may be open, a member that no longer does makes the group lost.
  * - Members of a group that may be open are taken for another one only after its head has
  *   reported that it is closed or broken, has moved to a later epoch, has ended, or has
- *   been unlisted and silent for HEAD_GONE_MS. While an open order is unanswered, which may
+ *   been unlisted and silent for HEAD_GONE_MS, or when no daemon that reads the store
+ *   could reach it either. While an open order is unanswered, which may
  *   be carried out up to ORDER_LATE_MS later, only moving the head counts.
  * - A planner knows nothing by itself that the ledger and the reports don't say; one that
  *   takes over assumes that orders of its predecessor are still on their way.
@@ -25,6 +26,7 @@
 
 enum {
 	CS_FORMATION_ORDER_LATE_MS = 12500, /* the platform: an order may take effect 12 s late */
+	CS_FORMATION_ASKED_MS = 1500,       /* daemons answer a question well within that */
 	CS_FORMATION_SILENT_PROBES = 2,     /* in a row: one may be lost on the way */
 	CS_FORMATION_HEAD_GONE_MS = 8000    /* a stall (4 s) and the list's lag (3.6 s) */
 };
@@ -53,6 +55,7 @@
 	int64_t relisted_ms;  /* when a missing member was listed again */
 	bool *missing;        /* by member: it was unlisted at the last plan */
 	uint32_t *silent;     /* by member: probes in a row that it did not answer */
+	int64_t asked_ms;     /* when daemons were asked about the head; 0: not yet */
 	bool head_ended;      /* nothing of it runs at its address any more */
 	int64_t *joined_ms;   /* by member: when the last join order was sent; 0: never */
 	UT_hash_handle hh;
@@ -64,7 +67,8 @@
 	CS_FORM_OPEN,
 	CS_FORM_CLOSE,
 	CS_FORM_STAGE,
-	CS_FORM_PROBE /* ask a member for its report */
+	CS_FORM_PROBE, /* ask a member for its report */
+	CS_FORM_ASK    /* ask all daemons whether an unlisted head answers them */
 } cs_form_kind_t;
 
 /* One action; its pointers are valid until the next call on the formation or the fleet. */
@@ -119,6 +123,9 @@
 /* A daemon has noticed that the group doesn't answer: its members are probed. */
 void cs_formation_suspect (cs_formation_t *f, int64_t now_ms, uint64_t epoch);
 
+/* A daemon reached the head of the group. */
+void cs_formation_witnessed (cs_formation_t *f, uint64_t epoch);
+
 typedef enum {
 	CS_PROBE_SILENT,
 	CS_PROBE_ENDED, /* nothing of that back end runs at its address */
--- a/packages/decide/include/cs/router.h
+++ b/packages/decide/include/cs/router.h
@@ -3,7 +3,8 @@
  * Load of a target = what it last reported, corrected for the report's age by what this
  * daemon has itself begun and ended since: max (own, reported - own then + own now).
  * Own zone first. Other zones only when no target of the own zone may take the request;
- * then all reachable targets of other zones count alike.
+ * then all reachable targets of other zones count alike. With a zone_penalty all zones are
+ * compared at once, and a target of another zone counts as if it had that load more.
  * Stragglers are ejected for a while by comparing their smoothed time to first byte and
  * gap between tokens with the median of their service, never more than eject_percent of
  * them, but one of three or more. A new or returned target starts slowly: its load counts
@@ -45,6 +46,7 @@
 	uint32_t slow_start_ms; /* 0: 10000 */
 	uint32_t eject_ms;      /* 0: 10000; doubles with each repeat, up to 8 times */
 	uint32_t bound_percent; /* affinity: load up to this share of the mean; 0: 125 */
+	uint32_t zone_penalty;  /* requests; 0: own zone first */
 	uint32_t disabled;      /* cs_router_disabled_t */
 } cs_router_options_t;
 
--- a/packages/decide/include/cs/suspects.h
+++ b/packages/decide/include/cs/suspects.h
@@ -20,6 +20,7 @@
 	uint64_t life; /* another life of the back end begins clean */
 	uint32_t strikes;
 	int64_t until_ms;
+	int64_t answered_ms; /* when it answered last; 0: not known */
 	UT_hash_handle hh;
 } cs_suspect_t;
 
@@ -31,7 +32,9 @@
 void cs_suspects_finish (cs_suspects_t *s);
 /* True if it was none already. */
 bool cs_suspects_failed (cs_suspects_t *s, int64_t now_ms, const char *id, uint64_t life);
-void cs_suspects_answered (cs_suspects_t *s, const char *id);
+void cs_suspects_answered (cs_suspects_t *s, int64_t now_ms, const char *id);
+/* When it answered last; 0: not lately. */
+int64_t cs_suspects_answered_ms (const cs_suspects_t *s, const char *id);
 bool cs_suspects_has (const cs_suspects_t *s, int64_t now_ms, const char *id, uint64_t life);
 /* Ids of all suspects into out; returns how many, max at most. */
 size_t cs_suspects_list (const cs_suspects_t *s, int64_t now_ms, const char **out, size_t max);
--- a/packages/decide/src/fleet.c
+++ b/packages/decide/src/fleet.c
@@ -76,6 +76,7 @@
 	cs_fleet_entry_t *e;
 	HASH_FIND_STR (f->entries, b->id, e);
 	bool same = e && !e->lapsed_ms && cs_backend_same (e->now, b);
+	bool same_life = e && e->now->born == b->born;
 	if (e) {
 		/* The entry's key is a string of its back end. */
 		HASH_DEL (f->entries, e);
@@ -85,6 +86,8 @@
 	}
 	e->now = b;
 	e->said_ms = now_ms;
+	if (!same_life)
+		e->listed_ms = now_ms;
 	e->lapsed_ms = 0;
 	HASH_ADD_KEYPTR (hh, f->entries, b->id, strlen (b->id), e);
 	return !same;
--- a/packages/decide/src/formation.c
+++ b/packages/decide/src/formation.c
@@ -265,6 +265,19 @@
 	b->probes = 0;
 }
 
+void
+cs_formation_witnessed (cs_formation_t *f, uint64_t epoch)
+{
+	cs_band_t *b;
+	HASH_FIND (hh, f->bands, &epoch, sizeof epoch, b);
+	if (!b)
+		return;
+	b->asked_ms = 0;
+	b->silent[0] = 0;
+	if (b->head_missing_ms)
+		b->head_missing_ms = 0; /* it lives: the silence begins anew */
+}
+
 static void
 note_down (cs_formation_t *f, int64_t now_ms, const char *id)
 {
--- a/packages/decide/src/formation_gather.c
+++ b/packages/decide/src/formation_gather.c
@@ -12,6 +12,7 @@
 	LIST_LAG_FACTOR = 2, /* loads that have ended are seen late: keep the weight store busy */
 	LEARN_MS = 500,      /* a planner that begins reads reports for so long first */
 	SETTLED_MS = 700,    /* a first start waits until no back end was added for so long, */
+	FILLING_MS = 1500,   /* a heartbeat and the list's lag */
 	MAX_SETTLE_MS = 5000 /* and no longer than that */
 };
 
@@ -246,11 +247,24 @@
 	return p->items[d->from].backend->zone;
 }
 
+/* True if back ends of the domain were listed just now: others with weights at hand may
+ * follow, as a whole domain is listed within a heartbeat. */
+static bool
+is_filling (const cs_form_view_t *v, const pool_t *p, const domain_t *d)
+{
+	for (size_t i = d->from; i < d->to; i++) {
+		const cs_fleet_entry_t *e = cs_fleet_entry (v->fleet, p->items[i].backend->id);
+		if (v->now_ms - e->listed_ms < FILLING_MS)
+			return true;
+	}
+	return false;
+}
+
 /* The domain of the zone that can form the model soonest, then the one with most free back
  * ends; NULL: none can form it now. `spare` back ends for each that is listed stay free. */
 static domain_t *
 best_domain (cs_form_view_t *v, pool_t *p, const cs_serving_model_t *m, const char *zone,
-	     double spare)
+	     double spare, uint32_t *ready_ms)
 {
 	domain_t *best = NULL;
 	uint32_t best_ms = 0;
@@ -261,16 +275,38 @@
 		if (strcmp (zone_of (p, d), zone) != 0 || d->free < m->group_size + kept)
 			continue;
 		uint32_t ms = choose (v, p, d, m, chosen);
-		if (ms >= m->load_ms && !may_add_loads (v, p->service))
+		if (ms >= m->load_ms && (!may_add_loads (v, p->service) || is_filling (v, p, d)))
 			continue;
 		if (best && (ms > best_ms || (ms == best_ms && d->free <= best->free)))
 			continue;
 		best = d;
 		best_ms = ms;
 	}
+	*ready_ms = best_ms;
 	return best;
 }
 
+/* True if members of a lost group of the model in the zone are about to be free: their
+ * weights are at hand, which a load is slower than. */
+static bool
+soon_released (const cs_form_view_t *v, const pool_t *p, const cs_serving_model_t *m,
+	       const char *zone)
+{
+	cs_band_t *b, *next;
+	HASH_ITER (hh, v->f->bands, b, next)
+	{
+		if (!b->lost || b->released || strcmp (b->service, p->service->name) != 0 ||
+		    strcmp (b->model, m->name) != 0)
+			continue;
+		for (size_t i = 1; i < b->n; i++) {
+			const cs_backend_t *other = cs_fleet_find (v->fleet, b->members[i]);
+			if (other && !strcmp (other->zone, zone))
+				return true;
+		}
+	}
+	return false;
+}
+
 /* Forms one group of the model that the zone lacks most; false if none can be formed. */
 static bool
 form_lacking (cs_form_view_t *v, pool_t *p, const char *zone)
@@ -284,8 +320,9 @@
 		if (!m->group_size || m->group_size > MAX_POOL ||
 		    lacking (v, p, m, zone, &part) < 0.5 || (model && part <= most))
 			continue;
-		domain_t *d = best_domain (v, p, m, zone, 0);
-		if (!d)
+		uint32_t ms;
+		domain_t *d = best_domain (v, p, m, zone, 0, &ms);
+		if (!d || (ms >= m->load_ms && soon_released (v, p, m, zone)))
 			continue;
 		model = m;
 		domain = d;
@@ -309,7 +346,8 @@
 		if (!m->group_size || m->group_size > MAX_POOL)
 			continue;
 		lacking (v, p, m, zone, &part);
-		domain_t *d = best_domain (v, p, m, zone, 1. - in_groups);
+		uint32_t ms;
+		domain_t *d = best_domain (v, p, m, zone, 1. - in_groups, &ms);
 		if (!d || (model && part <= most))
 			continue;
 		model = m;
--- a/packages/decide/src/formation_tend.c
+++ b/packages/decide/src/formation_tend.c
@@ -9,7 +9,7 @@
 	SUSPECT_PROBE_MS = 400, /* between the rounds of probes of a suspected group */
 	SUSPECT_ROUNDS = CS_FORMATION_SILENT_PROBES,
 	SUSPECT_REST_MS = 2000, /* a group that was found sound is not probed again before that */
-	PROBE_MS = 1000,        /* between two probes of an unlisted head */
+	PROBE_MS = 500,         /* between two probes of an unlisted head */
 	FORM_PATIENCE_MS =
 		30000 /* a group that is not ready by then is given up: a load takes 16 s */
 };
@@ -145,7 +145,11 @@
 	if (head || b->released || v->now_ms - b->probed_ms < PROBE_MS)
 		return;
 	b->probed_ms = v->now_ms;
-	cs_form_action_t *a = cs_formation_act (v->f, CS_FORM_PROBE, "the head is unlisted");
+	bool ask = b->silent[0] >= CS_FORMATION_SILENT_PROBES && !b->asked_ms;
+	if (ask)
+		b->asked_ms = v->now_ms;
+	cs_form_action_t *a =
+		cs_formation_act (v->f, ask ? CS_FORM_ASK : CS_FORM_PROBE, "the head is unlisted");
 	a->band = b;
 	a->id = b->members[0];
 }
--- a/packages/decide/src/formation_watch.c
+++ b/packages/decide/src/formation_watch.c
@@ -74,6 +74,8 @@
 		b->open_unanswered && v->now_ms - b->opened_ms < CS_FORMATION_ORDER_LATE_MS;
 	if (b->head_ended)
 		return true;
+	if (!head && b->asked_ms && v->now_ms - b->asked_ms >= CS_FORMATION_ASKED_MS)
+		return true;
 	if (!head)
 		return b->head_missing_ms &&
 		       v->now_ms - b->head_missing_ms >= CS_FORMATION_HEAD_GONE_MS;
@@ -92,6 +94,7 @@
 	const cs_backend_t *head = cs_fleet_find (v->fleet, b->members[0]);
 	if (head) {
 		b->head_missing_ms = 0;
+		b->asked_ms = 0;
 		b->head_ended = head->epoch > b->epoch;
 	} else if (!b->head_missing_ms) {
 		b->head_missing_ms = v->now_ms;
--- a/packages/decide/src/router.c
+++ b/packages/decide/src/router.c
@@ -64,7 +64,7 @@
 {
 	size_t n_range;
 	size_t first = cs_router_range (r, q->service, &n_range);
-	bool any_zone = r->options.disabled & CS_ROUTER_NO_ZONE_FIRST;
+	bool any_zone = r->options.zone_penalty || (r->options.disabled & CS_ROUTER_NO_ZONE_FIRST);
 	size_t serving = 0;
 	*n = 0;
 	r->eligible =
--- a/packages/decide/src/router_target.c
+++ b/packages/decide/src/router_target.c
@@ -41,7 +41,7 @@
 double
 cs_target_cost (const cs_router_t *r, const cs_target_t *t, int64_t now_ms)
 {
-	double load = cs_target_load (r, t, now_ms);
+	double load = cs_target_load (r, t, now_ms) + (t->own_zone ? 0 : r->options.zone_penalty);
 	if (r->options.disabled & CS_ROUTER_NO_SLOW_START)
 		return load;
 	double share = (double)(now_ms - t->since_ms) / r->options.slow_start_ms;
--- a/packages/decide/src/suspects.c
+++ b/packages/decide/src/suspects.c
@@ -39,16 +39,23 @@
 	return e;
 }
 
+static cs_suspect_t *
+find_or_add (cs_suspects_t *s, const char *id)
+{
+	cs_suspect_t *e = find (s, id);
+	if (e)
+		return e;
+	e = cs_alloc (sizeof *e);
+	e->id = cs_str_dup (cs_str (id));
+	HASH_ADD_KEYPTR (hh, s->entries, e->id, strlen (e->id), e);
+	return e;
+}
+
 /* Attempts that ran side by side fail together: they are one failure. */
 bool
 cs_suspects_failed (cs_suspects_t *s, int64_t now_ms, const char *id, uint64_t life)
 {
-	cs_suspect_t *e = find (s, id);
-	if (!e) {
-		e = cs_alloc (sizeof *e);
-		e->id = cs_str_dup (cs_str (id));
-		HASH_ADD_KEYPTR (hh, s->entries, e->id, strlen (e->id), e);
-	}
+	cs_suspect_t *e = find_or_add (s, id);
 	if (e->life != life)
 		e->strikes = 0;
 	e->life = life;
@@ -63,11 +70,19 @@
 }
 
 void
-cs_suspects_answered (cs_suspects_t *s, const char *id)
+cs_suspects_answered (cs_suspects_t *s, int64_t now_ms, const char *id)
 {
-	cs_suspect_t *e = find (s, id);
-	if (e)
-		discard (s, e);
+	cs_suspect_t *e = find_or_add (s, id);
+	e->answered_ms = now_ms;
+	e->strikes = 0;
+	e->until_ms = 0;
+}
+
+int64_t
+cs_suspects_answered_ms (const cs_suspects_t *s, const char *id)
+{
+	const cs_suspect_t *e = find (s, id);
+	return e ? e->answered_ms : 0;
 }
 
 bool
@@ -92,6 +107,7 @@
 {
 	cs_suspect_t *e, *next;
 	HASH_ITER (hh, s->entries, e, next)
-	if (now_ms - e->until_ms > CS_SUSPECT_FORGET_MS)
+	if (now_ms - e->until_ms > CS_SUSPECT_FORGET_MS &&
+	    now_ms - e->answered_ms > CS_SUSPECT_FORGET_MS)
 		discard (s, e);
 }
--- a/packages/former/src/former.c
+++ b/packages/former/src/former.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "cs/log.h"
+#include "cs/note.pb-c.h"
 #include "cs/record.pb-c.h"
 
 enum {
@@ -83,15 +84,18 @@
 }
 
 static void
-take_hint (cs_former_t *f, const cs_ledger_msg_t *m)
+take_note (cs_former_t *f, const cs_ledger_msg_t *m)
 {
-	Cs__Record *r = cs__record__unpack (NULL, m->bytes.n, (const uint8_t *)m->bytes.p);
-	if (!r || r->body_case != CS__RECORD__BODY_CRASH)
-		cs_log ("former", CS_LOG_WARN, "hint %" PRIu64 " can't be read", m->offset);
-	else
-		cs_formation_suspect (&f->formation, cs_now_ms (), r->crash->fence);
-	if (r)
-		cs__record__free_unpacked (r, NULL);
+	Cs__Note *note = cs__note__unpack (NULL, m->bytes.n, (const uint8_t *)m->bytes.p);
+	if (!note) {
+		cs_log ("former", CS_LOG_WARN, "note %" PRIu64 " can't be read", m->offset);
+		return;
+	}
+	if (note->body_case == CS__NOTE__BODY_SILENT)
+		cs_formation_suspect (&f->formation, cs_now_ms (), note->silent->epoch);
+	else if (note->body_case == CS__NOTE__BODY_ANSWERS)
+		cs_formation_witnessed (&f->formation, note->answers->epoch);
+	cs__note__free_unpacked (note, NULL);
 }
 
 static void
@@ -199,8 +203,8 @@
 	case CS_HOST_LEDGER:
 		take_ledger (f, (cs_ledger_msg_t *)m);
 		break;
-	case CS_HOST_HINT:
-		take_hint (f, (cs_ledger_msg_t *)m);
+	case CS_HOST_NOTE:
+		take_note (f, (cs_ledger_msg_t *)m);
 		break;
 	case CS_HOST_PROPOSED:
 		proposed (f, ((cs_ledger_msg_t *)m)->status);
--- a/packages/former/src/order.c
+++ b/packages/former/src/order.c
@@ -5,6 +5,7 @@
 
 #include "cs/counters.h"
 #include "cs/log.h"
+#include "cs/note.pb-c.h"
 #include "former.h"
 
 enum {
@@ -106,6 +107,24 @@
 	return cs_formation_address (&f->formation, a->id);
 }
 
+/* Asks all daemons, through the store, whether they reach the head. */
+static void
+ask (cs_former_t *f, const cs_form_action_t *a, const char *address)
+{
+	Cs__HeadQuestion question = CS__HEAD_QUESTION__INIT;
+	Cs__Note note = CS__NOTE__INIT;
+	cs_ledger_msg_t *m = cs_ledger_msg (CS_HOST_NOTE, 0, cs_str (NULL), CS_OK);
+	question.epoch = a->band->epoch;
+	question.head = (char *)(uintptr_t)a->id;
+	question.address = (char *)(uintptr_t)address;
+	note.from = f->host->name;
+	note.body_case = CS__NOTE__BODY_QUESTION;
+	note.question = &question;
+	cs_buf_reserve (&m->bytes, cs__note__get_packed_size (&note));
+	m->bytes.n = cs__note__pack (&note, (uint8_t *)m->bytes.p);
+	cs_send (f->task, f->store, &m->msg);
+}
+
 void
 cs_former_send (cs_former_t *f, const cs_form_action_t *a)
 {
@@ -114,6 +133,11 @@
 	bool probe = a->kind == CS_FORM_PROBE;
 	if (!address)
 		return;
+	if (a->kind == CS_FORM_ASK) {
+		cs_log_event ("former", "asked", "head=%s epoch=%" PRIu64, a->id, a->band->epoch);
+		ask (f, a, address);
+		return;
+	}
 	order_t *o = cs_alloc (sizeof *o);
 	o->former = f;
 	o->kind = a->kind;
--- a/packages/forward/src/dispatch.c
+++ b/packages/forward/src/dispatch.c
@@ -66,7 +66,7 @@
 			    declared && declared->n_models ? model : cs_str (""));
 	cs_status_t status = pick (c, service.p, &chosen);
 	if (status == CS_OK)
-		status = cs_sending_start (c, chosen.name);
+		status = cs_sending_start (c, chosen.name, service.p);
 	if (status != CS_OK)
 		refuse (c, status, service.p);
 	cs_buf_finish (&service);
--- a/packages/forward/src/forward.c
+++ b/packages/forward/src/forward.c
@@ -12,6 +12,8 @@
 	STOP_MARGIN_MS = 400, /* a stop ends that long before the platform ends the process */
 	BUDGET_PERCENT_OF =
 		90,        /* of the ratio that all daemons may repeat: views differ a little */
+	ZONE_PENALTY = 1,  /* requests: another zone is some ms away, within one region */
+	SLOW_START_MS = 1, /* a group is ready when it opens */
 	EJECT_PERCENT = 20 /* of a service's back ends that may be kept out as slow */
 };
 
@@ -62,11 +64,14 @@
 	const cs_router_options_t router = {.policy = CS_ROUTE_TWO_CHOICES,
 					    .zone = f->host->zone,
 					    .seed = seed,
+					    .slow_start_ms = SLOW_START_MS,
+					    .zone_penalty = ZONE_PENALTY,
 					    .eject_percent = EJECT_PERCENT};
 	const cs_retry_options_t retry = {
 		.percent = (uint32_t)(f->host->retry_ratio * BUDGET_PERCENT_OF), .seed = seed};
 	cs_fleet_init (&f->fleet);
 	cs_suspects_init (&f->suspects);
+	cs_patience_init (&f->patience);
 	cs_router_init (&f->router, &router);
 	cs_retry_init (&f->retry, &retry);
 	cs_rng_init (&f->rng, seed);
@@ -137,6 +142,9 @@
 		cs_log_event ("list", state->yes ? "regained" : "lost", "back_ends=%u",
 			      (unsigned)HASH_COUNT (f->fleet.entries));
 		break;
+	case CS_HOST_NOTE:
+		cs_notes_take (f, cs_buf_str (&((cs_ledger_msg_t *)m)->bytes));
+		break;
 	case CS_HOST_STOP:
 		if (!f->stopping_ms)
 			f->stopping_ms = cs_now_ms ();
@@ -156,6 +164,7 @@
 	cs_status_stop (f);
 	cs_router_finish (&f->router);
 	cs_suspects_finish (&f->suspects);
+	cs_patience_finish (&f->patience);
 	cs_fleet_finish (&f->fleet);
 	if (f->serving)
 		cs_ref_put (&f->serving->ref);
--- a/packages/forward/src/forward.h
+++ b/packages/forward/src/forward.h
@@ -12,6 +12,7 @@
 #include "cs/http.h"
 #include "cs/httpd.h"
 #include "cs/outcome.h"
+#include "cs/patience.h"
 #include "cs/retry.h"
 #include "cs/router.h"
 #include "cs/serving.h"
@@ -36,6 +37,7 @@
 	cs_router_t router;
 	cs_retry_t retry;
 	cs_suspects_t suspects;
+	cs_patience_t patience;
 	cs_rng_t rng;
 	cs_call_t *calls;
 	ev_timer tick;
@@ -66,7 +68,8 @@
 typedef struct {
 	cs_http_call_t http;
 	cs_call_t *call;
-	char *target; /* id of the back end */
+	char *target;  /* id of the back end */
+	char *service; /* the router's name of what it serves */
 	uint64_t life;
 	cs_buf_t url;
 	cs_buf_t lines; /* header lines, each ended by NUL */
@@ -154,7 +157,7 @@
 /* The router's name of what serves the model of a service. */
 void cs_targets_service (cs_buf_t *out, const char *service, cs_str_t model);
 /* sending.c */
-cs_status_t cs_sending_start (cs_call_t *c, const char *target);
+cs_status_t cs_sending_start (cs_call_t *c, const char *target, const char *service);
 /* Ends the attempt under way; nothing follows from it. */
 void cs_sending_abandon (cs_call_t *c);
 /* verdict.c: an attempt has ended; frees it. */
@@ -166,6 +169,9 @@
 void cs_reply_end (cs_call_t *c, bool complete);
 enum MHD_Result cs_reply_serve (cs_call_t *c);
 void cs_reply_resume (cs_call_t *c);
+/* notes.c: what daemons tell one another of groups. */
+void cs_notes_silent (cs_forward_t *f, const cs_backend_t *head);
+void cs_notes_take (cs_forward_t *f, cs_str_t bytes);
 /* counts.c */
 void cs_counts_ended (const cs_call_t *c);
 void cs_counts_attempt (const cs_sending_t *s, const cs_attempt_t *result);
--- /dev/null
+++ b/packages/forward/src/notes.c
@@ -0,0 +1,114 @@
+/* Notes of daemons about groups: given when a head doesn't answer, taken to keep away from
+ * it, and questions of the planner about heads that it can't reach. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "cs/log.h"
+#include "cs/note.pb-c.h"
+#include "forward.h"
+
+enum {
+	ASK_MS = 400,         /* a head that lives answers within some ms */
+	FRESH_ANSWER_MS = 400 /* an own answer as new as that outweighs another daemon's failure */
+};
+
+typedef struct {
+	cs_http_call_t http;
+	cs_forward_t *forward;
+	uint64_t epoch;
+	cs_buf_t url;
+	cs_buf_t expected;
+	const char *headers[2];
+} ask_t;
+
+static void
+give (cs_forward_t *f, Cs__Note *note)
+{
+	cs_ledger_msg_t *m = cs_ledger_msg (CS_HOST_NOTE, 0, cs_str (NULL), CS_OK);
+	note->from = f->host->name;
+	cs_buf_reserve (&m->bytes, cs__note__get_packed_size (note));
+	m->bytes.n = cs__note__pack (note, (uint8_t *)m->bytes.p);
+	cs_send (f->task, cs_task_find (f->task->kernel, "store"), &m->msg);
+}
+
+void
+cs_notes_silent (cs_forward_t *f, const cs_backend_t *head)
+{
+	Cs__GroupSilent silent = CS__GROUP_SILENT__INIT;
+	Cs__Note note = CS__NOTE__INIT;
+	silent.epoch = head->epoch;
+	silent.head = head->id;
+	note.body_case = CS__NOTE__BODY_SILENT;
+	note.silent = &silent;
+	cs_log_event ("forward", "group_silent", "group=%s epoch=%llu head=%s", head->group,
+		      (unsigned long long)head->epoch, head->id);
+	give (f, &note);
+}
+
+static void
+on_asked (cs_http_call_t *call, cs_http_end_t end, int status)
+{
+	ask_t *a = call->data;
+	if (end == CS_HTTP_DONE && status == 200) {
+		Cs__HeadAnswers answers = CS__HEAD_ANSWERS__INIT;
+		Cs__Note note = CS__NOTE__INIT;
+		answers.epoch = a->epoch;
+		note.body_case = CS__NOTE__BODY_ANSWERS;
+		note.answers = &answers;
+		give (a->forward, &note);
+	}
+	cs_buf_finish (&a->url);
+	cs_buf_finish (&a->expected);
+	free (a);
+}
+
+static void
+ask (cs_forward_t *f, const Cs__HeadQuestion *q)
+{
+	const cs_adapter_t *adapter = f->host->adapter;
+	ask_t *a = cs_alloc (sizeof *a);
+	a->forward = f;
+	a->epoch = q->epoch;
+	cs_buf_printf (&a->url, "http://%s%s", q->address, adapter->report_path);
+	cs_buf_printf (&a->expected, "%s: %s", adapter->headers->expected_backend, q->head);
+	a->headers[0] = a->expected.p;
+	a->http = (cs_http_call_t){.method = "GET",
+				   .url = cs_buf_str (&a->url),
+				   .headers = a->headers,
+				   .connect_ms = ASK_MS,
+				   .idle_ms = ASK_MS,
+				   .total_ms = ASK_MS,
+				   .on_end = on_asked,
+				   .data = a};
+	if (cs_http_start (&f->client, &a->http) != CS_OK)
+		on_asked (&a->http, CS_HTTP_NOT_SENT, 0);
+}
+
+/* Another daemon's requests to the head get no answer: keep away from it, too. */
+static void
+take_silent (cs_forward_t *f, const Cs__Note *note)
+{
+	const Cs__GroupSilent *s = note->silent;
+	const cs_backend_t *head = cs_fleet_find (&f->fleet, s->head);
+	int64_t now = cs_now_ms ();
+	if (!head || head->epoch != s->epoch || !strcmp (note->from, f->host->name))
+		return;
+	if (cs_suspects_answered_ms (&f->suspects, s->head) + FRESH_ANSWER_MS > now)
+		return;
+	cs_suspects_failed (&f->suspects, now, s->head, s->epoch);
+}
+
+void
+cs_notes_take (cs_forward_t *f, cs_str_t bytes)
+{
+	Cs__Note *note = cs__note__unpack (NULL, bytes.n, (const uint8_t *)bytes.p);
+	if (!note) {
+		cs_log ("forward", CS_LOG_WARN, "a note can't be read");
+		return;
+	}
+	if (note->body_case == CS__NOTE__BODY_SILENT)
+		take_silent (f, note);
+	else if (note->body_case == CS__NOTE__BODY_QUESTION)
+		ask (f, note->question);
+	cs__note__free_unpacked (note, NULL);
+}
--- a/packages/forward/src/sending.c
+++ b/packages/forward/src/sending.c
@@ -10,8 +10,8 @@
 
 enum {
 	CONNECT_MS = 250,   /* a machine that is up answers within some ms */
-	MIN_FIRST_MS = 300, /* shortest wait for a first sign of an answer */
-	MIN_GAP_MS = 250,   /* and between events: some passes of a full engine */
+	MIN_FIRST_MS = 150, /* shortest wait for a first sign of an answer: some passes */
+	MIN_GAP_MS = 250,   /* and between events */
 	MAX_ANSWER_BYTES = 8 << 20,
 	HEADER_LINE_EXTRA = 64
 };
@@ -31,13 +31,15 @@
 
 /* Time until which the answer, or a stream's first event, must have come. */
 static int64_t
-first_bound (const cs_call_t *c, int64_t now)
+first_bound (const cs_sending_t *s, int64_t now)
 {
+	const cs_call_t *c = s->call;
 	int64_t left = c->timeout_ms - now;
-	int64_t ms = 2 * (int64_t)c->route->target_ms;
+	int64_t most = 2 * (int64_t)c->route->target_ms;
 	if (!may_follow (c))
 		return left;
-	ms = ms < MIN_FIRST_MS ? MIN_FIRST_MS : ms;
+	int64_t ms = cs_patience_bound (&c->forward->patience, s->service, MIN_FIRST_MS,
+					most > MIN_FIRST_MS ? most : MIN_FIRST_MS);
 	return ms < left ? ms : left;
 }
 
@@ -173,6 +175,17 @@
 		cs_http_cancel (http);
 }
 
+/* The first sign of an answer. */
+static void
+note_first (cs_sending_t *s, int64_t now_us)
+{
+	if (s->first_us)
+		return;
+	s->first_us = now_us;
+	cs_patience_answered (&s->call->forward->patience, now_us / 1000, s->service,
+			      (now_us - s->sent_us) / 1000);
+}
+
 /* Passes whole events on; the head goes with the first one, so that until then the
  * request can begin anew elsewhere. */
 static void
@@ -190,7 +203,7 @@
 	}
 	if (whole.n) {
 		s->last_us = cs_now_us ();
-		s->first_us = s->first_us ? s->first_us : s->last_us;
+		note_first (s, s->last_us);
 		s->events += c->events.tokens - before;
 		if (!c->has_head)
 			cs_reply_head (c, s->status, &s->answer);
@@ -210,8 +223,7 @@
 		take_events (s, bytes);
 		return;
 	}
-	if (!s->first_us)
-		s->first_us = cs_now_us ();
+	note_first (s, cs_now_us ());
 	cs_buf_add (&s->body, bytes);
 	if (s->body.n > MAX_ANSWER_BYTES) {
 		s->bad = true;
@@ -305,7 +317,7 @@
 }
 
 cs_status_t
-cs_sending_start (cs_call_t *c, const char *target)
+cs_sending_start (cs_call_t *c, const char *target, const char *service)
 {
 	cs_forward_t *f = c->forward;
 	const cs_backend_t *b = cs_fleet_find (&f->fleet, target);
@@ -317,6 +329,7 @@
 	cs_sending_t *s = cs_alloc (sizeof *s);
 	s->call = c;
 	s->target = cs_str_dup (cs_str (b->id));
+	s->service = cs_str_dup (cs_str (service));
 	s->life = b->epoch ? b->epoch : b->born;
 	s->sent_us = cs_now_us ();
 	ev_init (&s->bound, on_bound);
@@ -327,7 +340,7 @@
 	c->sending = s;
 	c->tried[c->tries++] = cs_str_dup (cs_str (b->id));
 	cs_router_begin (&f->router, now, s->target);
-	set_bound (s, first_bound (c, now));
+	set_bound (s, first_bound (s, now));
 	if (cs_http_start (&f->client, &s->http) != CS_OK)
 		on_end (&s->http, CS_HTTP_NOT_SENT, 0);
 	return CS_OK;
--- a/packages/forward/src/verdict.c
+++ b/packages/forward/src/verdict.c
@@ -3,7 +3,6 @@
 #include <string.h>
 
 #include "cs/log.h"
-#include "cs/record.pb-c.h"
 #include "forward.h"
 
 enum {
@@ -22,28 +21,10 @@
 	cs_buf_finish (&s->body);
 	free (s->headers);
 	free (s->target);
+	free (s->service);
 	free (s);
 }
 
-/* Tells the planner of groups, wherever it runs, that a head does not answer. */
-static void
-give_hint (cs_forward_t *f, const cs_backend_t *head)
-{
-	Cs__Crash crash = CS__CRASH__INIT;
-	Cs__Record record = CS__RECORD__INIT;
-	cs_ledger_msg_t *m = cs_ledger_msg (CS_HOST_HINT, 0, cs_str (NULL), CS_OK);
-	crash.group = head->group;
-	crash.fence = head->epoch;
-	record.body_case = CS__RECORD__BODY_CRASH;
-	record.crash = &crash;
-	cs_buf_reserve (&m->bytes, cs__record__get_packed_size (&record));
-	m->bytes.n = cs__record__pack (&record, (uint8_t *)m->bytes.p);
-	cs_log_event ("forward", "hint", "group=%s epoch=%llu head=%s", head->group,
-		      (unsigned long long)head->epoch, head->id);
-	cs_send (f->task, cs_task_find (f->task->kernel, "store"), &m->msg);
-}
-
-/* What the router and the list of suspects learn from the attempt. */
 static void
 suspect (const cs_sending_t *s, const cs_attempt_t *a, int64_t now)
 {
@@ -51,9 +32,10 @@
 	const cs_backend_t *b = cs_fleet_find (&f->fleet, s->target);
 	bool first = cs_suspects_failed (&f->suspects, now, s->target, s->life);
 	if (first && a->end != CS_ATTEMPT_ANSWERED && b && b->epoch == s->life)
-		give_hint (f, b);
+		cs_notes_silent (f, b);
 }
 
+/* What the router, the list of suspects and the bounds of waits learn from the attempt. */
 static void
 learn (const cs_sending_t *s, const cs_attempt_t *a)
 {
@@ -68,9 +50,11 @@
 		result.token_gap_us = (s->last_us - s->first_us) / (s->events - 1);
 	cs_router_end (&f->router, now, s->target, &result);
 	if (answered && cs_outcome_run (a) == CS_RUN_YES)
-		cs_suspects_answered (&f->suspects, s->target);
+		cs_suspects_answered (&f->suspects, now, s->target);
 	else if (!s->call->gone && a->end != CS_ATTEMPT_TIMEOUT)
 		suspect (s, a, now);
+	if (a->end == CS_ATTEMPT_SILENT && !s->first_us)
+		cs_patience_stalled (&f->patience, now, s->service);
 	if (f->host->adapter->decode_load (cs_headers_find (&s->answer, f->names->load), &running,
 					   &waiting))
 		cs_router_report (&f->router, s->target, now, running, waiting);
--- a/packages/host/include/cs/host_messages.h
+++ b/packages/host/include/cs/host_messages.h
@@ -6,7 +6,7 @@
  *   store  -> forward, former  SERVING, BACKEND, LIST_STATE
  *   store  -> former           TURN, LEDGER, PROPOSED
  *   former -> store            PROPOSE
- *   forward -> store -> former HINT, through the store to the daemon that plans
+ *   forward, former <-> store  NOTE, through the store to all daemons
  *   main   -> all              STOP */
 #ifndef CS_HOST_MESSAGES_H
 #define CS_HOST_MESSAGES_H
@@ -23,7 +23,7 @@
 	CS_HOST_LEDGER,
 	CS_HOST_PROPOSE,
 	CS_HOST_PROPOSED,
-	CS_HOST_HINT, /* cs_ledger_msg_t: a packed Crash record of a group that doesn't answer */
+	CS_HOST_NOTE, /* cs_ledger_msg_t: a packed Note; `offset` is its place in the topic */
 	CS_HOST_STOP
 } cs_host_msg_kind_t;
 
