Move members of a group only behind its closed head, and prove it by random schedules

The new invariant test found more: late open orders behind a close, heads cut from the list but alive, groups known by reports alone, planners whose turns overlap. Ruled out: waiting 12 s for late orders in all cases (repairs would take that long).

--- a/packages/decide/include/cs/formation.h
+++ b/packages/decide/include/cs/formation.h
@@ -10,8 +10,10 @@
  * - Members of a group that may be open are taken for another one only after its head has
  *   reported that it is closed or broken, has moved to a later epoch, has ended, or has
  *   been unlisted and silent for HEAD_GONE_MS, or when no daemon that reads the store
- *   could reach it either. While an open order is unanswered, which may
- *   be carried out up to ORDER_LATE_MS later, only moving the head counts.
+ *   could reach it either; its silence counts only while another member answers, as a cut
+ *   may lie between this daemon and all of them. While an open order is unanswered, which may
+ *   be carried out up to ORDER_LATE_MS later, only moving the head counts; its join names
+ *   the number of orders that it had taken when it was seen closed, and fails if one came.
  * - A planner knows nothing by itself that the ledger and the reports don't say; one that
  *   takes over assumes that orders of its predecessor are still on their way.
  *
@@ -26,7 +28,9 @@
 
 enum {
 	CS_FORMATION_ORDER_LATE_MS = 12500, /* the platform: an order may take effect 12 s late */
+	CS_FORMATION_TAKEOVER_MS = 1000,    /* a planner stops within its lease of 0.96 s */
 	CS_FORMATION_ASKED_MS = 1500,       /* daemons answer a question well within that */
+	CS_FORMATION_OPENING_MS = 500,      /* a head opens 0.3 s after it took the order */
 	CS_FORMATION_SILENT_PROBES = 2,     /* in a row: one may be lost on the way */
 	CS_FORMATION_HEAD_GONE_MS = 8000    /* a stall (4 s) and the list's lag (3.6 s) */
 };
@@ -39,13 +43,24 @@
 	char *model;
 	char **members; /* the first is the head */
 	size_t n;
+	bool adopted;         /* known by reports alone, which may not show all of it: it is left to
+			       * serve, and not completed or opened */
+	bool inherited;       /* made before this planner began: it may be open already */
 	bool opened;          /* an open order was sent, or the head was seen open */
 	bool lost;            /* a member is missing, or the head is broken */
 	bool released;        /* its members may be taken */
 	int64_t made_ms;      /* when this planner learned of it */
 	int64_t opened_ms;    /* when the last open order was sent; 0: never */
-	bool open_unanswered; /* that order may still be on its way */
-	int64_t closed_ms;    /* when the last close order was sent; 0: never */
+	bool open_unanswered; /* it has had no answer yet */
+	int64_t doubt_ms;     /* when an open order was sent last that had no answer, or might have
+			       * been by a planner before; it may still be on its way; 0: never */
+	int64_t closed_since_ms; /* since when probes show a head that does not serve and took no
+				  * order; 0: they don't */
+	int64_t checked_ms;      /* the last of these probes */
+	uint64_t sequence;       /* orders that the head had taken by then */
+	bool quiet;        /* lost, and its head reports that it does not serve: its members may be
+			    * taken for a group that the head leads, as moving on closes it */
+	int64_t closed_ms; /* when the last close order was sent; 0: never */
 	int64_t closing_since_ms;
 	int64_t head_missing_ms; /* since when the head is unlisted; 0: listed */
 	int64_t probed_ms;
@@ -56,6 +71,8 @@
 	bool *missing;        /* by member: it was unlisted at the last plan */
 	uint32_t *silent;     /* by member: probes in a row that it did not answer */
 	int64_t asked_ms;     /* when daemons were asked about the head; 0: not yet */
+	bool *answered;       /* by member: it answered its last probe */
+	bool head_serves;     /* its last probe said that it is open, or closing */
 	bool head_ended;      /* nothing of it runs at its address any more */
 	int64_t *joined_ms;   /* by member: when the last join order was sent; 0: never */
 	UT_hash_handle hh;
@@ -77,11 +94,23 @@
 	const cs_band_t *band; /* NULL: STAGE */
 	const char *id;        /* of the back end; NULL: APPEND */
 	const char *address;
-	const char *model;  /* JOIN and STAGE */
+	const char *model; /* JOIN and STAGE */
+	bool expects;      /* JOIN: refuse it if another order was taken behind `sequence` */
+	uint64_t sequence;
 	bool cut;           /* CLOSE: end the requests in progress */
 	const char *reason; /* static text for the log */
 } cs_form_action_t;
 
+/* Mechanisms that tests turn off. */
+typedef enum {
+	CS_FORMATION_NO_HEAD_CHECK = 1 << 0,  /* take members whatever their old head does */
+	CS_FORMATION_NO_INHERITANCE = 1 << 1, /* older groups were never opened */
+	CS_FORMATION_NO_READY_CHECK = 1 << 2, /* open without having seen all members ready */
+	CS_FORMATION_NO_LATE_OPENS = 1 << 3,  /* an unanswered open order had no effect */
+	CS_FORMATION_NO_EXPECTATION = 1 << 4  /* move a head whatever orders it took meanwhile */
+
+} cs_formation_disabled_t;
+
 typedef struct cs_assignment cs_assignment_t;
 typedef struct cs_staging cs_staging_t;
 
@@ -93,7 +122,9 @@
 	int64_t started_ms; /* when this daemon began to plan */
 	int64_t loads_ms;   /* when load_tokens was brought up to date */
 	double load_tokens; /* loads that may begin */
+	uint32_t disabled;  /* cs_formation_disabled_t */
 	int64_t eager_until_ms;
+	bool caught_up;
 	cs_staging_t *staging; /* uthash by back end: orders to stage weights */
 	size_t listed;         /* back ends in the list at the last plan */
 	int64_t listed_ms;     /* when their number changed last */
@@ -108,6 +139,8 @@
  * system starts for the first time, until eager_until_ms, loads are not spread over time:
  * no request waits for the weight store yet. */
 void cs_formation_begin (cs_formation_t *f, int64_t now_ms, int64_t eager_until_ms);
+/* The ledger has been read to its end: what is folded from now on is this planner's own. */
+void cs_formation_caught_up (cs_formation_t *f);
 /* Takes in a Form record: the members belong to this group from now on. */
 void cs_formation_fold (cs_formation_t *f, int64_t now_ms, uint64_t epoch, const char *name,
 			const char *service, const char *model, const char *const *members,
@@ -133,7 +166,8 @@
 	CS_PROBE_MEMBER /* it is, in the state given */
 } cs_probe_t;
 
+/* sequence: orders that the back end has taken in this life. */
 void cs_formation_probed (cs_formation_t *f, int64_t now_ms, uint64_t epoch, const char *id,
-			  cs_probe_t result, cs_member_state_t state);
+			  cs_probe_t result, cs_member_state_t state, uint64_t sequence);
 
 #endif
--- a/packages/decide/src/formation.c
+++ b/packages/decide/src/formation.c
@@ -16,6 +16,7 @@
 	b->joined_ms = cs_alloc (n * sizeof *b->joined_ms);
 	b->missing = cs_alloc (n * sizeof *b->missing);
 	b->silent = cs_alloc (n * sizeof *b->silent);
+	b->answered = cs_alloc (n * sizeof *b->answered);
 	b->n = n;
 	for (size_t i = 0; i < n; i++)
 		b->members[i] = cs_str_dup (cs_str (members[i]));
@@ -31,6 +32,7 @@
 	free (b->joined_ms);
 	free (b->missing);
 	free (b->silent);
+	free (b->answered);
 	free (b->name);
 	free (b->service);
 	free (b->model);
@@ -97,6 +99,13 @@
 	f->loads_ms = now_ms;
 	f->load_tokens = 0;
 	f->eager_until_ms = eager_until_ms;
+	f->caught_up = false;
+}
+
+void
+cs_formation_caught_up (cs_formation_t *f)
+{
+	f->caught_up = true;
 }
 
 cs_band_t *
@@ -149,6 +158,12 @@
 		return;
 	b = cs_band_new (epoch, name, service, model, members, n);
 	b->made_ms = now_ms;
+	if (!f->caught_up && !(f->disabled & CS_FORMATION_NO_INHERITANCE)) {
+		/* Whether its head was told to open is not known, nor whether it will yet be. */
+		b->inherited = true;
+		b->opened_ms = now_ms;
+		b->doubt_ms = now_ms;
+	}
 	HASH_ADD (hh, f->bands, epoch, sizeof b->epoch, b);
 	for (size_t i = 0; i < n; i++) {
 		const cs_band_t *before = cs_formation_band_of (f, members[i]);
@@ -238,6 +253,9 @@
 	forget_proposed (f);
 	f->n_actions = 0;
 	cs_formation_watch (&v);
+	/* The planner before may still act on what it knew when it lost its turn. */
+	if (now_ms - f->started_ms < CS_FORMATION_TAKEOVER_MS && now_ms >= f->eager_until_ms)
+		return;
 	cs_formation_tend (&v);
 	cs_formation_gather (&v);
 }
@@ -296,22 +314,40 @@
 	return i;
 }
 
+bool
+cs_band_in_doubt (const cs_formation_t *f, int64_t now_ms, const cs_band_t *b)
+{
+	if (f->disabled & CS_FORMATION_NO_LATE_OPENS)
+		return false;
+	if (b->open_unanswered)
+		return true;
+	return b->doubt_ms && now_ms - b->doubt_ms < CS_FORMATION_ORDER_LATE_MS;
+}
+
+static void
+note_closed (cs_band_t *b, int64_t now_ms, bool closed, uint64_t sequence)
+{
+	if (!closed || sequence != b->sequence || !b->closed_since_ms)
+		b->closed_since_ms = closed ? now_ms : 0;
+	b->sequence = sequence;
+	b->checked_ms = closed ? now_ms : 0;
+}
+
 /* A head that answers shows that its group may serve, or that it can't. */
 static void
 probed_head (cs_band_t *b, cs_probe_t result, cs_member_state_t state)
 {
 	bool serves = state == CS_MEMBER_OPEN || state == CS_MEMBER_CLOSING;
+	b->head_serves = result == CS_PROBE_MEMBER && serves;
 	if (result == CS_PROBE_ENDED || result == CS_PROBE_MOVED)
 		b->head_ended = true;
-	else if (result == CS_PROBE_MEMBER && serves)
+	else if (result == CS_PROBE_MEMBER)
 		b->head_missing_ms = 0; /* it lives: the silence begins anew */
-	else if (result == CS_PROBE_MEMBER && !b->open_unanswered)
-		b->head_ended = true;
 }
 
 void
 cs_formation_probed (cs_formation_t *f, int64_t now_ms, uint64_t epoch, const char *id,
-		     cs_probe_t result, cs_member_state_t state)
+		     cs_probe_t result, cs_member_state_t state, uint64_t sequence)
 {
 	cs_band_t *b;
 	HASH_FIND (hh, f->bands, &epoch, sizeof epoch, b);
@@ -319,8 +355,13 @@
 	if (!b || i == b->n)
 		return;
 	b->silent[i] = result == CS_PROBE_SILENT ? b->silent[i] + 1 : 0;
+	b->answered[i] = result != CS_PROBE_SILENT;
 	if (result == CS_PROBE_ENDED || b->silent[i] >= CS_FORMATION_SILENT_PROBES)
 		note_down (f, now_ms, id);
+	bool closed =
+		result == CS_PROBE_MEMBER && state != CS_MEMBER_OPEN && state != CS_MEMBER_CLOSING;
+	if (i == 0)
+		note_closed (b, now_ms, closed, sequence);
 	if (i == 0 && b->head_missing_ms)
 		probed_head (b, result, state);
 	else if (i == 0 && result == CS_PROBE_ENDED)
--- a/packages/decide/src/formation_gather.c
+++ b/packages/decide/src/formation_gather.c
@@ -9,6 +9,7 @@
 enum {
 	MAX_POOL = 1024,     /* free back ends that are looked at in one plan */
 	MAX_DOMAINS = 256,   /* of one service */
+	MAX_LEFT_OUT = 8,    /* lost groups that clash with each other in one domain */
 	LIST_LAG_FACTOR = 2, /* loads that have ended are seen late: keep the weight store busy */
 	LEARN_MS = 500,      /* a planner that begins reads reports for so long first */
 	SETTLED_MS = 700,    /* a first start waits until no back end was added for so long, */
@@ -16,6 +17,8 @@
 	MAX_SETTLE_MS = 5000 /* and no longer than that */
 };
 
+#define NEVER UINT32_MAX
+
 /* Share of the back ends that groups are wanted for; the others stand by with weights at
  * hand, as a join with them takes 1 s and a load 12 to 16 s. */
 static const double in_groups = 0.8;
@@ -64,7 +67,7 @@
 	const cs_band_t *b = cs_formation_band_of (v->f, e->now->id);
 	if (e->lapsed_ms || e->now->draining || cs_formation_is_down (v, e))
 		return false;
-	return !b || b->released;
+	return !b || b->released || b->quiet;
 }
 
 static bool
@@ -164,22 +167,62 @@
 	return strcmp (b->staged, m->name) ? m->load_ms : m->warm_ms;
 }
 
-/* Chooses the members that are ready first; returns the time of the slowest. */
+/* The group whose head has to lead the new group if this back end is to be a member. */
+static const cs_band_t *
+bound_to (const cs_form_view_t *v, const pool_t *p, size_t i)
+{
+	const cs_band_t *b = cs_formation_band_of (v->f, p->items[i].backend->id);
+	return b && !b->released ? b : NULL;
+}
+
+/* A group that the members chosen are bound to, though its head is not among them or
+ * another such group's members are; NULL: there is none. */
+static const cs_band_t *
+find_clash (const cs_form_view_t *v, const pool_t *p, const size_t *chosen, size_t n)
+{
+	const cs_band_t *only = NULL;
+	bool led = false;
+	for (size_t k = 0; k < n; k++) {
+		const cs_band_t *b = bound_to (v, p, chosen[k]);
+		if (b && only && b != only)
+			return b;
+		only = b ? b : only;
+	}
+	for (size_t k = 0; k < n && only; k++)
+		led |= !strcmp (p->items[chosen[k]].backend->id, only->members[0]);
+	return only && !led ? only : NULL;
+}
+
+static bool
+is_left_out (const cs_band_t *b, const cs_band_t *const *left_out, size_t n)
+{
+	for (size_t i = 0; i < n; i++)
+		if (b && b == left_out[i])
+			return true;
+	return false;
+}
+
+/* Chooses those that are ready first, without members of the groups left out; returns the
+ * time of the slowest, NEVER if there are not enough. */
 static uint32_t
-choose (const cs_form_view_t *v, const pool_t *p, const domain_t *d, const cs_serving_model_t *m,
-	size_t *chosen)
+choose_without (const cs_form_view_t *v, const pool_t *p, const domain_t *d,
+		const cs_serving_model_t *m, const cs_band_t *const *left_out, size_t n_left_out,
+		size_t *chosen)
 {
 	uint32_t slowest = 0;
 	bool used[MAX_POOL] = {false};
 	for (uint32_t k = 0; k < m->group_size; k++) {
 		size_t best = d->to;
 		for (size_t i = d->from; i < d->to; i++) {
-			if (p->items[i].taken || used[i])
+			if (p->items[i].taken || used[i] ||
+			    is_left_out (bound_to (v, p, i), left_out, n_left_out))
 				continue;
 			if (best == d->to || join_ms (v, p->items[i].backend, m) <
 						     join_ms (v, p->items[best].backend, m))
 				best = i;
 		}
+		if (best == d->to)
+			return NEVER;
 		used[best] = true;
 		chosen[k] = best;
 		uint32_t ms = join_ms (v, p->items[best].backend, m);
@@ -188,6 +231,24 @@
 	return slowest;
 }
 
+/* Chooses the members that are ready first; returns the time of the slowest, NEVER if the
+ * domain has not enough that may form one group. */
+static uint32_t
+choose (const cs_form_view_t *v, const pool_t *p, const domain_t *d, const cs_serving_model_t *m,
+	size_t *chosen)
+{
+	const cs_band_t *left_out[MAX_LEFT_OUT];
+	for (size_t n = 0; n < MAX_LEFT_OUT; n++) {
+		uint32_t ms = choose_without (v, p, d, m, left_out, n, chosen);
+		const cs_band_t *clash =
+			ms == NEVER ? NULL : find_clash (v, p, chosen, m->group_size);
+		if (!clash)
+			return ms;
+		left_out[n] = clash;
+	}
+	return NEVER;
+}
+
 static bool
 may_add_loads (const cs_form_view_t *v, const cs_serving_service_t *service)
 {
--- a/packages/decide/src/formation_tend.c
+++ b/packages/decide/src/formation_tend.c
@@ -9,7 +9,10 @@
 	SUSPECT_PROBE_MS = 400, /* between the rounds of probes of a suspected group */
 	SUSPECT_ROUNDS = CS_FORMATION_SILENT_PROBES,
 	SUSPECT_REST_MS = 2000, /* a group that was found sound is not probed again before that */
-	PROBE_MS = 500,         /* between two probes of an unlisted head */
+	RELISTED_MS = 4000, /* three heartbeats: who was cut off with a member is back as well */
+
+	CHECK_PROBE_MS = 300,
+	PROBE_MS = 500, /* between two probes of an unlisted head */
 	FORM_PATIENCE_MS =
 		30000 /* a group that is not ready by then is given up: a load takes 16 s */
 };
@@ -21,7 +24,7 @@
 	cs_band_t *b, *next;
 	HASH_ITER (hh, v->f->bands, b, next)
 	{
-		if (b->epoch >= band->epoch || b->released || !b->opened)
+		if (b->epoch >= band->epoch || b->released || !(b->opened || b->inherited))
 			continue;
 		for (size_t i = 0; i < b->n; i++)
 			if (!strcmp (b->members[i], id) && strcmp (b->members[0], id) != 0)
@@ -36,6 +39,48 @@
 	return strcmp (m->model, b->model) != 0 && strcmp (m->staged, b->model) != 0;
 }
 
+static void
+probe (cs_form_view_t *v, const cs_band_t *b, size_t i, const char *reason)
+{
+	const cs_backend_t *m = cs_fleet_find (v->fleet, b->members[i]);
+	cs_form_action_t *a = cs_formation_act (v->f, CS_FORM_PROBE, reason);
+	a->band = b;
+	a->id = b->members[i];
+	a->address = m ? m->address : NULL;
+}
+
+/* The older group that the back end still leads, as far as is known; NULL: none. */
+static cs_band_t *
+led_before (const cs_form_view_t *v, const cs_band_t *band, const char *id)
+{
+	cs_band_t *b, *next;
+	HASH_ITER (hh, v->f->bands, b, next)
+	if (b->epoch < band->epoch && !b->released && (b->opened || b->inherited) &&
+	    !strcmp (b->members[0], id))
+		return b;
+	return NULL;
+}
+
+/* Looks whether the head is closed and takes no orders. */
+static void
+check (cs_form_view_t *v, cs_band_t *b)
+{
+	if (v->now_ms - b->probed_ms < CHECK_PROBE_MS)
+		return;
+	b->probed_ms = v->now_ms;
+	probe (v, b, 0, "is it closed?");
+}
+
+/* A head that a late order might open is moved only behind a fresh look at it. */
+static bool
+is_checked (cs_form_view_t *v, cs_band_t *old)
+{
+	if (cs_band_is_checked (v, old))
+		return true;
+	check (v, old);
+	return false;
+}
+
 static void
 join (cs_form_view_t *v, cs_band_t *b, size_t i, const cs_serving_service_t *service)
 {
@@ -46,6 +91,9 @@
 		return;
 	if (!may_join (v, b, b->members[i]))
 		return;
+	cs_band_t *old = led_before (v, b, b->members[i]);
+	if (old && !(v->f->disabled & CS_FORMATION_NO_EXPECTATION) && !is_checked (v, old))
+		return;
 	if (!b->joined_ms[i] && needs_load (b, m) && !cs_formation_may_load (v, service))
 		return;
 	b->joined_ms[i] = v->now_ms;
@@ -54,13 +102,20 @@
 	a->id = m->id;
 	a->address = m->address;
 	a->model = b->model;
+	if (!old || (v->f->disabled & CS_FORMATION_NO_EXPECTATION))
+		return;
+	a->expects = true;
+	a->sequence = old->sequence;
+	old->closed_since_ms = 0;
 }
 
 static void
 open_head (cs_form_view_t *v, cs_band_t *b, const cs_backend_t *head)
 {
-	if (b->opened_ms && v->now_ms - b->opened_ms < REPEAT_MS)
+	if (b->opened && v->now_ms - b->opened_ms < REPEAT_MS)
 		return;
+	if (b->open_unanswered)
+		b->doubt_ms = b->opened_ms;
 	b->opened = true;
 	b->opened_ms = v->now_ms;
 	b->open_unanswered = true;
@@ -83,16 +138,9 @@
 	}
 	b->probes++;
 	b->probed_ms = v->now_ms;
-	for (size_t i = 0; i < b->n; i++) {
-		const cs_backend_t *m = cs_fleet_find (v->fleet, b->members[i]);
-		if (!m)
-			continue;
-		cs_form_action_t *a =
-			cs_formation_act (v->f, CS_FORM_PROBE, "its group does not answer");
-		a->band = b;
-		a->id = m->id;
-		a->address = m->address;
-	}
+	for (size_t i = 0; i < b->n; i++)
+		if (cs_fleet_find (v->fleet, b->members[i]))
+			probe (v, b, i, "its group does not answer");
 }
 
 static void
@@ -100,12 +148,18 @@
 {
 	const cs_backend_t *head = cs_fleet_find (v->fleet, b->members[0]);
 	size_t ready = 0;
+	if (b->adopted) {
+		probe_members (v, b);
+		return;
+	}
 	for (size_t i = 0; i < b->n; i++) {
 		join (v, b, i, service);
 		ready += cs_band_has_ready (b, cs_fleet_find (v->fleet, b->members[i]));
 	}
 	probe_members (v, b);
-	if (ready == b->n && head->state == CS_MEMBER_READY)
+	if (v->f->disabled & CS_FORMATION_NO_READY_CHECK)
+		ready = b->n;
+	if (ready == b->n && head && head->epoch == b->epoch && head->state == CS_MEMBER_READY)
 		open_head (v, b, head);
 }
 
@@ -119,6 +173,7 @@
 	return v->now_ms - b->closing_since_ms < CLOSE_WAIT_MS;
 }
 
+/* head NULL: it is unlisted, but answers. */
 static void
 close_head (cs_form_view_t *v, cs_band_t *b, const cs_backend_t *head)
 {
@@ -129,8 +184,8 @@
 	b->closed_ms = v->now_ms;
 	cs_form_action_t *a = cs_formation_act (v->f, CS_FORM_CLOSE, "a member is lost");
 	a->band = b;
-	a->id = head->id;
-	a->address = head->address;
+	a->id = b->members[0];
+	a->address = head ? head->address : NULL;
 	a->cut = !waits_for_work (v, b);
 }
 
@@ -140,16 +195,21 @@
 	const cs_backend_t *head = cs_fleet_find (v->fleet, b->members[0]);
 	bool serves = head && head->epoch == b->epoch &&
 		      (head->state == CS_MEMBER_OPEN || head->state == CS_MEMBER_CLOSING);
-	if (serves)
+	if (serves || (!head && b->head_serves))
 		close_head (v, b, head);
+	if (head && !serves && !b->released)
+		check (v, b);
 	if (head || b->released || v->now_ms - b->probed_ms < PROBE_MS)
 		return;
 	b->probed_ms = v->now_ms;
-	bool ask = b->silent[0] >= CS_FORMATION_SILENT_PROBES && !b->asked_ms;
-	if (ask)
-		b->asked_ms = v->now_ms;
-	cs_form_action_t *a =
-		cs_formation_act (v->f, ask ? CS_FORM_ASK : CS_FORM_PROBE, "the head is unlisted");
+	for (size_t i = 0; i < b->n; i++)
+		if (!i || cs_fleet_find (v->fleet, b->members[i]))
+			probe (v, b, i, "the head is unlisted");
+	if (b->asked_ms || b->silent[0] < CS_FORMATION_SILENT_PROBES ||
+	    !cs_band_others_answer (b) || v->now_ms - b->relisted_ms < RELISTED_MS)
+		return;
+	b->asked_ms = v->now_ms;
+	cs_form_action_t *a = cs_formation_act (v->f, CS_FORM_ASK, "the head is unlisted");
 	a->band = b;
 	a->id = b->members[0];
 }
--- a/packages/decide/src/formation_watch.c
+++ b/packages/decide/src/formation_watch.c
@@ -6,6 +6,7 @@
 
 enum {
 	MAX_ADOPTED = 64,  /* members of a group that the ledger no longer names */
+	CHECKED_MS = 1000, /* a look at a head is fresh for so long */
 	RELISTED_MS = 2500 /* after a cut, entries are back within 2 s of the first one */
 };
 
@@ -32,6 +33,19 @@
 	return e && cs_formation_is_down (v, e);
 }
 
+/* A member is back, perhaps with all of a zone that was cut off: what the silence of the
+ * others meant has to be found out anew. */
+static void
+note_relisted (const cs_form_view_t *v, cs_band_t *b)
+{
+	b->relisted_ms = v->now_ms;
+	b->asked_ms = 0;
+	b->head_ended = false;
+	if (b->head_missing_ms)
+		b->head_missing_ms = v->now_ms;
+	memset (b->silent, 0, b->n * sizeof *b->silent);
+}
+
 /* Notes which members are unlisted; true if one is, and not just others of a cut that has
  * ended are listed again. */
 static bool
@@ -41,13 +55,30 @@
 	for (size_t i = 0; i < b->n; i++) {
 		bool gone = !cs_fleet_find (v->fleet, b->members[i]);
 		if (b->missing[i] && !gone)
-			b->relisted_ms = v->now_ms;
+			note_relisted (v, b);
 		b->missing[i] = gone;
 		missing |= gone;
 	}
 	return missing && !(b->relisted_ms && v->now_ms - b->relisted_ms < RELISTED_MS);
 }
 
+bool
+cs_band_others_answer (const cs_band_t *b)
+{
+	for (size_t i = 1; i < b->n; i++)
+		if (b->answered[i])
+			return true;
+	return false;
+}
+
+/* True if a member answered its last probe: the others' silence is their own, not that of
+ * the way to them. */
+static bool
+is_reached (const cs_band_t *b)
+{
+	return b->answered[0] || cs_band_others_answer (b);
+}
+
 /* A member drains, is down, or has left what may be an open group. */
 static bool
 lacks_member (const cs_form_view_t *v, const cs_band_t *b)
@@ -56,7 +87,7 @@
 		const cs_backend_t *m = cs_fleet_find (v->fleet, b->members[i]);
 		if (!m)
 			continue;
-		if (m->draining || is_down (v, m->id) || m->epoch > b->epoch ||
+		if (m->draining || (is_reached (b) && is_down (v, m->id)) || m->epoch > b->epoch ||
 		    cs_formation_band_of (v->f, b->members[i]) != b)
 			return true;
 		if (b->opened && !cs_band_has_ready (b, m) && m->state != CS_MEMBER_BROKEN)
@@ -65,27 +96,35 @@
 	return false;
 }
 
+/* True if the list shows a head that does not serve under this epoch. The list lags. */
+static bool
+seems_closed (const cs_band_t *b, const cs_backend_t *head)
+{
+	return !in_band (b, head) ||
+	       (head->state != CS_MEMBER_OPEN && head->state != CS_MEMBER_CLOSING);
+}
+
+bool
+cs_band_is_checked (const cs_form_view_t *v, const cs_band_t *b)
+{
+	return b->closed_since_ms && v->now_ms - b->checked_ms < CHECKED_MS &&
+	       b->checked_ms - b->closed_since_ms >= CS_FORMATION_OPENING_MS;
+}
+
 /* True if the head can't be serving under this epoch and nothing on its way can open it. */
 static bool
 head_is_still (const cs_form_view_t *v, const cs_band_t *b)
 {
 	const cs_backend_t *head = cs_fleet_find (v->fleet, b->members[0]);
-	bool open_on_its_way =
-		b->open_unanswered && v->now_ms - b->opened_ms < CS_FORMATION_ORDER_LATE_MS;
 	if (b->head_ended)
 		return true;
-	if (!head && b->asked_ms && v->now_ms - b->asked_ms >= CS_FORMATION_ASKED_MS)
-		return true;
-	if (!head)
-		return b->head_missing_ms &&
-		       v->now_ms - b->head_missing_ms >= CS_FORMATION_HEAD_GONE_MS;
-	if (head->epoch > b->epoch)
+	if (head && head->epoch > b->epoch)
 		return true;
-	if (!in_band (b, head))
-		return !open_on_its_way;
-	if (head->state == CS_MEMBER_OPEN || head->state == CS_MEMBER_CLOSING)
-		return false;
-	return !open_on_its_way;
+	if (!head && !b->answered[0])
+		return cs_band_others_answer (b) &&
+		       ((b->asked_ms && v->now_ms - b->asked_ms >= CS_FORMATION_ASKED_MS) ||
+			v->now_ms - b->head_missing_ms >= CS_FORMATION_HEAD_GONE_MS);
+	return cs_band_is_checked (v, b) && !cs_band_in_doubt (v->f, v->now_ms, b);
 }
 
 static void
@@ -95,6 +134,7 @@
 	if (head) {
 		b->head_missing_ms = 0;
 		b->asked_ms = 0;
+		b->head_serves = false;
 		b->head_ended = head->epoch > b->epoch;
 	} else if (!b->head_missing_ms) {
 		b->head_missing_ms = v->now_ms;
@@ -103,12 +143,14 @@
 	    (head->state == CS_MEMBER_OPEN || head->state == CS_MEMBER_CLOSING ||
 	     head->state == CS_MEMBER_BROKEN)) {
 		b->opened = true;
-		if (head->state == CS_MEMBER_OPEN)
-			b->open_unanswered = false;
 	}
 	b->lost = misses_member (v, b) || lacks_member (v, b) ||
 		  (in_band (b, head) && head->state == CS_MEMBER_BROKEN);
-	b->released = b->lost && (!b->opened || head_is_still (v, b));
+	bool may_serve = b->opened || b->inherited;
+	if (v->f->disabled & CS_FORMATION_NO_HEAD_CHECK)
+		may_serve = false;
+	b->released = b->lost && (!may_serve || head_is_still (v, b));
+	b->quiet = b->lost && head && !head->draining && seems_closed (b, head);
 }
 
 /* A group that reports show and the ledger doesn't: its record has expired. */
@@ -135,9 +177,9 @@
 			   members, n);
 	cs_band_t *b = cs_formation_band_of (v->f, seen->id);
 	if (b && b->epoch == seen->epoch) {
-		b->opened = true;
+		b->adopted = b->inherited = true;
 		b->opened_ms = v->now_ms;
-		b->open_unanswered = true;
+		b->doubt_ms = v->now_ms;
 	}
 }
 
--- /dev/null
+++ b/packages/decide/tests/invariant_formation.c
@@ -0,0 +1,320 @@
+/* No back end is taken from a group that serves, and no group opens with a member that was
+ * never ready, whatever is lost, late or cut: two planners share a ledger, change turns, go
+ * on with a stale turn, and learn of the fleet by a list that lags and lapses. */
+#include "cs_test.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cs/formation.h"
+#include "cs_options.h"
+#include "support_orders.h"
+
+enum {
+	STEP_MS = 200,
+	STEPS = 400,
+	RUNS = 900,
+	PLANNERS = 2,
+	LIST_LAG_MS = 800,
+	LAPSE_MS = 3600, /* an entry is removed after three heartbeats */
+	STALE_STEPS =
+		5, /* steps for which a planner goes on without its turn: less than a second */
+	MAX_LEDGER = 2000
+};
+
+typedef struct {
+	uint64_t epoch;
+	char name[64];
+	char model[16];
+	char *members[SUPPORT_MAX_GROUP];
+	size_t n;
+} form_t;
+
+typedef struct {
+	cs_fleet_t fleet;
+	cs_formation_t formation;
+	size_t read; /* of the ledger */
+	bool plans;
+	int stale_left;  /* steps until it notices that its turn is over */
+	uint64_t hidden; /* steps during which it reads nothing of the list */
+} planner_t;
+
+typedef struct {
+	support_orders_t world;
+	cs_serving_t *serving;
+	form_t ledger[MAX_LEDGER];
+	size_t n_ledger;
+	planner_t planners[PLANNERS];
+	int turn;
+} run_t;
+
+static cs_options_t options;
+
+static uint32_t
+disabled (void)
+{
+	static const struct {
+		const char *name;
+		uint32_t bit;
+	} mechanisms[] = {
+		{"head-check", CS_FORMATION_NO_HEAD_CHECK},
+		{"inheritance", CS_FORMATION_NO_INHERITANCE},
+		{"ready-check", CS_FORMATION_NO_READY_CHECK},
+		{"late-opens", CS_FORMATION_NO_LATE_OPENS},
+		{"expectation", CS_FORMATION_NO_EXPECTATION},
+	};
+	for (size_t i = 0; i < CS_COUNT (mechanisms); i++)
+		if (cs_options_off (&options, mechanisms[i].name))
+			return mechanisms[i].bit;
+	return 0;
+}
+
+static cs_serving_t *
+make_serving (void)
+{
+	cs_serving_t *s = cs_serving_new ();
+	cs_serving_service_t *v = cs_serving_add_service (s);
+	v->name = cs_str_dup (cs_str ("llm"));
+	v->loads_per_s = 4;
+	v->loads_at_once = 6;
+	for (int i = 0; i < 2; i++) {
+		cs_serving_model_t *m = cs_serving_add_model (v);
+		m->name = cs_str_dup (cs_str (i ? "m1" : "m0"));
+		m->group_size = i ? 2 : 4;
+		m->share = 0.5;
+		m->load_ms = 12000;
+		m->warm_ms = 1000;
+	}
+	return s;
+}
+
+static void
+read_ledger (run_t *r, planner_t *p)
+{
+	for (; p->read < r->n_ledger; p->read++) {
+		const form_t *f = &r->ledger[p->read];
+		cs_formation_fold (&p->formation, r->world.now_ms, f->epoch, f->name, "llm",
+				   f->model, (const char *const *)f->members, f->n);
+	}
+	cs_formation_caught_up (&p->formation);
+}
+
+static void
+read_list (run_t *r, planner_t *p)
+{
+	support_orders_t *w = &r->world;
+	for (int i = 0; i < SUPPORT_SERVERS; i++) {
+		support_server_t *s = &w->servers[i];
+		if (!s->exists)
+			continue;
+		bool fresh = !s->store_cut && !s->planner_cut && s->alive;
+		if (fresh && cs_rng_below (&w->rng, LIST_LAG_MS / STEP_MS) == 0)
+			cs_fleet_set (&p->fleet, w->now_ms, support_orders_entry (s));
+		else if (!fresh && w->now_ms - s->beat_ms > LAPSE_MS)
+			cs_fleet_remove (&p->fleet, w->now_ms, s->id);
+	}
+}
+
+static void
+append (run_t *r, planner_t *p, const cs_band_t *b)
+{
+	if (p->read != r->n_ledger || r->n_ledger == MAX_LEDGER)
+		return; /* the ledger has gone on */
+	form_t *f = &r->ledger[r->n_ledger++];
+	f->epoch = r->n_ledger;
+	f->n = b->n;
+	snprintf (f->name, sizeof f->name, "%s", b->name);
+	snprintf (f->model, sizeof f->model, "%s", b->model);
+	for (size_t i = 0; i < b->n; i++)
+		f->members[i] = cs_str_dup (cs_str (b->members[i]));
+	read_ledger (r, p);
+}
+
+static void
+probe (run_t *r, planner_t *p, uint64_t epoch, const char *id)
+{
+	const support_server_t *s = support_orders_find (&r->world, id);
+	cs_probe_t result = CS_PROBE_SILENT;
+	if (s && s->alive && !s->planner_cut)
+		result = s->epoch == epoch ? CS_PROBE_MEMBER : CS_PROBE_MOVED;
+	cs_formation_probed (&p->formation, r->world.now_ms, epoch, id, result,
+			     s ? s->state : CS_MEMBER_NONE, s ? s->sequence : 0);
+}
+
+/* No daemon that reads the store reaches what the planner doesn't: cuts are of zones. */
+static void
+ask (run_t *r, planner_t *p, uint64_t epoch, const char *id)
+{
+	const support_server_t *s = support_orders_find (&r->world, id);
+	if (s && s->alive && !s->planner_cut)
+		cs_formation_witnessed (&p->formation, epoch);
+}
+
+static void
+act (run_t *r, planner_t *p)
+{
+	int late = 25;
+	size_t n = p->formation.n_actions;
+	cs_form_action_t *actions = cs_alloc ((n + 1) * sizeof *actions);
+	memcpy (actions, p->formation.actions, n * sizeof *actions);
+	for (size_t i = 0; i < n; i++) {
+		const cs_form_action_t *a = &actions[i];
+		bool accepted = false;
+		if (a->kind == CS_FORM_APPEND)
+			continue;
+		if (a->kind == CS_FORM_PROBE)
+			probe (r, p, a->band->epoch, a->id);
+		else if (a->kind == CS_FORM_ASK)
+			ask (r, p, a->band->epoch, a->id);
+		else if (support_orders_send (&r->world, a, late, &accepted) &&
+			 a->kind == CS_FORM_OPEN)
+			cs_formation_opened (&p->formation, a->band->epoch, accepted);
+	}
+	if (p->formation.n_proposed)
+		append (r, p, p->formation.proposed[0]);
+	free (actions);
+}
+
+static void
+take_turn (run_t *r, int k)
+{
+	planner_t *p = &r->planners[k];
+	r->planners[r->turn].stale_left = (int)cs_rng_below (&r->world.rng, STALE_STEPS);
+	r->turn = k;
+	p->plans = true;
+	p->read = 0;
+	cs_formation_begin (&p->formation, r->world.now_ms, 0);
+	read_ledger (r, p);
+}
+
+/* A fabric domain is cut off from the store and the planners, or is back. */
+static void
+cut_domain (support_orders_t *w, bool cut)
+{
+	char domain[16];
+	snprintf (domain, sizeof domain, "d%u", cs_rng_below (&w->rng, SUPPORT_DOMAINS));
+	for (int i = 0; i < SUPPORT_SERVERS; i++) {
+		support_server_t *s = &w->servers[i];
+		if (!s->exists || strcmp (s->domain, domain) != 0)
+			continue;
+		s->planner_cut = cut;
+	}
+}
+
+static void
+disturb (run_t *r)
+{
+	support_orders_t *w = &r->world;
+	support_server_t *s = &w->servers[cs_rng_below (&w->rng, SUPPORT_SERVERS)];
+	switch (cs_rng_below (&w->rng, 40)) {
+	case 0:
+		s->alive = false; /* it falls silent for good */
+		break;
+	case 1:
+		s->store_cut = true;
+		break;
+	case 2:
+		s->store_cut = false;
+		break;
+	case 3:
+		support_orders_add (w, (int)cs_rng_below (&w->rng, SUPPORT_DOMAINS));
+		break;
+	case 4:
+		take_turn (r, 1 - r->turn);
+		break;
+	case 5:
+		s->draining = true;
+		break;
+	case 6:
+		cut_domain (w, true);
+		break;
+	case 7:
+	case 8:
+		cut_domain (w, false);
+		break;
+	case 9:
+		r->planners[r->turn].hidden = cs_rng_below (&w->rng, 20);
+		break;
+	case 10:
+		for (int i = 0; i < SUPPORT_SERVERS; i++)
+			if (w->servers[i].exists && !w->servers[i].alive &&
+			    w->now_ms - w->servers[i].beat_ms > 2 * LAPSE_MS)
+				w->servers[i].exists = false;
+		break;
+	default:
+		break;
+	}
+}
+
+static void
+step (run_t *r)
+{
+	support_orders_step (&r->world, STEP_MS);
+	disturb (r);
+	for (int k = 0; k < PLANNERS; k++) {
+		planner_t *p = &r->planners[k];
+		if (p->hidden)
+			p->hidden--;
+		else
+			read_list (r, p);
+		if (k != r->turn && p->plans && p->stale_left-- <= 0)
+			p->plans = false;
+		if (!p->plans)
+			continue;
+		if (k == r->turn)
+			read_ledger (r, p);
+		cs_formation_plan (&p->formation, r->world.now_ms, &p->fleet, r->serving);
+		act (r, p);
+	}
+}
+
+static uint32_t
+run_seed (uint64_t seed)
+{
+	run_t *r = cs_alloc (sizeof *r);
+	support_orders_init (&r->world, seed);
+	r->serving = make_serving ();
+	for (int k = 0; k < PLANNERS; k++) {
+		cs_fleet_init (&r->planners[k].fleet);
+		cs_formation_init (&r->planners[k].formation);
+		r->planners[k].formation.disabled = disabled ();
+	}
+	take_turn (r, 0);
+	for (int i = 0; i < STEPS && !*r->world.broken; i++)
+		step (r);
+	if (*r->world.broken)
+		fail_msg ("seed %" PRIu64 ": %s", seed, r->world.broken);
+	uint32_t opened = r->world.opened;
+	for (int k = 0; k < PLANNERS; k++) {
+		cs_formation_finish (&r->planners[k].formation);
+		cs_fleet_finish (&r->planners[k].fleet);
+	}
+	for (size_t i = 0; i < r->n_ledger; i++)
+		for (size_t m = 0; m < r->ledger[i].n; m++)
+			free (r->ledger[i].members[m]);
+	cs_ref_put (&r->serving->ref);
+	support_orders_finish (&r->world);
+	free (r);
+	return opened;
+}
+
+static void
+test_property (void **state)
+{
+	uint32_t opened = 0;
+	(void)state;
+	for (uint32_t i = 0; i < options.runs; i++)
+		opened += run_seed (options.seed + i);
+	print_message ("%u groups opened in %u runs\n", opened, options.runs);
+	assert_true (opened > 4 * options.runs); /* the runs are about groups that serve */
+}
+
+int
+main (int argc, char **argv)
+{
+	const struct CMUnitTest tests[] = {cmocka_unit_test (test_property)};
+	options = cs_options_parse (argc, argv, RUNS);
+	return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/packages/former/src/former.c
+++ b/packages/former/src/former.c
@@ -53,6 +53,7 @@
 		return;
 	if (!m->bytes.n) {
 		f->ledger_read = true;
+		cs_formation_caught_up (&f->formation);
 		f->ledger_end = m->offset;
 		return;
 	}
--- a/packages/former/src/order.c
+++ b/packages/former/src/order.c
@@ -39,12 +39,13 @@
 }
 
 static void
-end_probe (const order_t *o, cs_http_end_t end, int status, bool refused)
+end_probe (const order_t *o, cs_http_end_t end, int status)
 {
 	cs_former_t *f = o->former;
 	cs_report_t report;
 	cs_probe_t result = CS_PROBE_SILENT;
-	bool ended = refused || (end == CS_HTTP_DONE && status == STATUS_MISDIRECTED);
+	/* A refused connection proves nothing: a cut between zones may answer with resets. */
+	bool ended = end == CS_HTTP_DONE && status == STATUS_MISDIRECTED;
 	bool told = end == CS_HTTP_DONE && status == 200 &&
 		    f->host->adapter->decode_report (cs_buf_str (&o->reply), &report);
 	if (ended)
@@ -52,7 +53,8 @@
 	else if (told)
 		result = report.epoch == o->epoch ? CS_PROBE_MEMBER : CS_PROBE_MOVED;
 	cs_formation_probed (&f->formation, cs_now_ms (), o->epoch, o->id, result,
-			     told ? (cs_member_state_t)report.state : CS_MEMBER_NONE);
+			     told ? (cs_member_state_t)report.state : CS_MEMBER_NONE,
+			     told ? report.sequence : 0);
 }
 
 static void
@@ -70,7 +72,7 @@
 	if (o->kind == CS_FORM_OPEN && end == CS_HTTP_NOT_SENT)
 		cs_formation_opened (&o->former->formation, o->epoch, false);
 	if (o->kind == CS_FORM_PROBE)
-		end_probe (o, end, status, call->refused);
+		end_probe (o, end, status);
 	cs_buf_finish (&o->url);
 	cs_buf_finish (&o->body);
 	cs_buf_finish (&o->expected);
@@ -88,7 +90,11 @@
 		[CS_FORM_CLOSE] = CS_ORDER_CLOSE,
 		[CS_FORM_STAGE] = CS_ORDER_STAGE,
 	};
-	cs_order_t order = {.kind = kinds[a->kind], .model = a->model, .cut = a->cut};
+	cs_order_t order = {.kind = kinds[a->kind],
+			    .model = a->model,
+			    .cut = a->cut,
+			    .expects = a->expects,
+			    .sequence = a->sequence};
 	if (a->band) {
 		order.group = a->band->name;
 		order.epoch = a->band->epoch;
--- a/packages/host/include/cs/host.h
+++ b/packages/host/include/cs/host.h
@@ -23,6 +23,8 @@
 	const char *model;
 	const char *const *members; /* JOIN: the first is the head */
 	size_t n_members;
+	bool expects; /* refuse it unless the back end has taken `sequence` orders so far */
+	uint64_t sequence;
 	bool cut; /* CLOSE: end the requests in progress */
 } cs_order_t;
 
@@ -45,7 +47,8 @@
 typedef struct {
 	char group[128];
 	uint64_t epoch;
-	int state; /* cs_member_state_t */
+	int state;         /* cs_member_state_t */
+	uint64_t sequence; /* orders taken in this life */
 } cs_report_t;
 
 typedef struct {
