--- a/packages/decide/include/cs/fleet.h
+++ b/packages/decide/include/cs/fleet.h
@@ -58,7 +58,17 @@
 	UT_hash_handle hh;
 } cs_fleet_entry_t;
 
+/* A group that was seen whole: who its members are. */
 typedef struct {
+	char *head;
+	uint64_t epoch;
+	char **members;
+	uint32_t n;
+	UT_hash_handle hh;
+} cs_fleet_group_t;
+
+typedef struct {
+	cs_fleet_group_t *groups;  /* uthash by head: those that were seen whole */
 	cs_fleet_entry_t *entries; /* uthash by id */
 	int64_t back_ms;           /* when the list was last reached again after a failure */
 	bool away;                 /* the last reading of the list failed */
@@ -78,10 +88,11 @@
 const cs_fleet_entry_t *cs_fleet_entry (const cs_fleet_t *f, const char *id);
 /* Iteration: NULL gives the first, NULL at the end. */
 const cs_fleet_entry_t *cs_fleet_next (const cs_fleet_t *f, const cs_fleet_entry_t *at);
-/* Members of the head's group, itself included, that are ready under its name and number. */
-uint32_t cs_fleet_members (const cs_fleet_t *f, const cs_backend_t *head);
-/* True if the back end is the head of an open group of that size, with all members ready
- * and none of them draining. */
-bool cs_fleet_whole (const cs_fleet_t *f, const cs_backend_t *head, uint32_t size);
+/* True if the back end is the head of an open group of that size whose members are all
+ * ready under its name and number, none of them draining. A group that was seen whole stays
+ * so while a member is unlisted but none says otherwise: a member that does not reach the
+ * list may well work on, and one that has ended stops the group, which its requests show
+ * long before its entry lapses. */
+bool cs_fleet_whole (cs_fleet_t *f, const cs_backend_t *head, uint32_t size);
 
 #endif
--- a/packages/decide/include/cs/formation.h
+++ b/packages/decide/include/cs/formation.h
@@ -68,6 +68,9 @@
 			       * found sound */
 	uint32_t probes;      /* rounds of probes since then */
 	int64_t relisted_ms;  /* when a missing member was listed again */
+	bool unlisted;        /* a member is unlisted */
+	int64_t *missing_ms;  /* by member: since when it is unlisted; 0: listed, or not an open
+				 group */
 	bool *missing;        /* by member: it was unlisted at the last plan */
 	uint32_t *silent;     /* by member: probes in a row that it did not answer */
 	int64_t asked_ms;     /* when daemons were asked about the head; 0: not yet */
--- a/packages/decide/src/fleet.c
+++ b/packages/decide/src/fleet.c
@@ -62,14 +62,6 @@
 	free (e);
 }
 
-void
-cs_fleet_finish (cs_fleet_t *f)
-{
-	cs_fleet_entry_t *e, *next;
-	HASH_ITER (hh, f->entries, e, next)
-	discard (f, e);
-}
-
 bool
 cs_fleet_set (cs_fleet_t *f, int64_t now_ms, cs_backend_t *b)
 {
@@ -164,8 +156,61 @@
 	       !strcmp (b->group, head->group) && !strcmp (b->service, head->service);
 }
 
-uint32_t
-cs_fleet_members (const cs_fleet_t *f, const cs_backend_t *head)
+static cs_fleet_group_t *
+find_group (const cs_fleet_t *f, const cs_backend_t *head)
+{
+	cs_fleet_group_t *g;
+	HASH_FIND_STR (f->groups, head->id, g);
+	return g;
+}
+
+static void
+forget_group (cs_fleet_t *f, cs_fleet_group_t *g)
+{
+	HASH_DEL (f->groups, g);
+	for (uint32_t i = 0; i < g->n; i++)
+		free (g->members[i]);
+	free (g->members);
+	free (g->head);
+	free (g);
+}
+
+/* Remembers who the members are; all are listed now. */
+static void
+remember_group (cs_fleet_t *f, const cs_backend_t *head, uint32_t size)
+{
+	cs_fleet_group_t *g = find_group (f, head);
+	if (g && g->epoch == head->epoch)
+		return;
+	if (g)
+		forget_group (f, g);
+	g = cs_alloc (sizeof *g);
+	g->head = cs_str_dup (cs_str (head->id));
+	g->epoch = head->epoch;
+	g->members = cs_alloc (size * sizeof *g->members);
+	for (const cs_fleet_entry_t *e = f->entries; e && g->n < size; e = e->hh.next)
+		if (in_group (e->now, head))
+			g->members[g->n++] = cs_str_dup (cs_str (e->now->id));
+	HASH_ADD_KEYPTR (hh, f->groups, g->head, strlen (g->head), g);
+}
+
+/* No member of the group that was whole is listed as anything else. */
+static bool
+is_undisputed (const cs_fleet_t *f, const cs_backend_t *head)
+{
+	const cs_fleet_group_t *g = find_group (f, head);
+	if (!g || g->epoch != head->epoch)
+		return false;
+	for (uint32_t i = 0; i < g->n; i++) {
+		const cs_backend_t *m = cs_fleet_find (f, g->members[i]);
+		if (m && !in_group (m, head))
+			return false;
+	}
+	return true;
+}
+
+static uint32_t
+count_members (const cs_fleet_t *f, const cs_backend_t *head)
 {
 	uint32_t n = 0;
 	for (const cs_fleet_entry_t *e = f->entries; e; e = e->hh.next)
@@ -174,8 +219,23 @@
 }
 
 bool
-cs_fleet_whole (const cs_fleet_t *f, const cs_backend_t *head, uint32_t size)
+cs_fleet_whole (cs_fleet_t *f, const cs_backend_t *head, uint32_t size)
 {
-	return head->rank == 0 && head->state == CS_MEMBER_OPEN && !head->draining &&
-	       cs_fleet_members (f, head) == size;
+	if (head->rank || head->state != CS_MEMBER_OPEN || head->draining)
+		return false;
+	if (count_members (f, head) != size)
+		return is_undisputed (f, head);
+	remember_group (f, head, size);
+	return true;
+}
+
+void
+cs_fleet_finish (cs_fleet_t *f)
+{
+	cs_fleet_entry_t *e, *next;
+	cs_fleet_group_t *g, *next_g;
+	HASH_ITER (hh, f->entries, e, next)
+	discard (f, e);
+	HASH_ITER (hh, f->groups, g, next_g)
+	forget_group (f, g);
 }
--- a/packages/decide/src/formation.c
+++ b/packages/decide/src/formation.c
@@ -15,6 +15,7 @@
 	b->members = cs_alloc (n * sizeof *b->members);
 	b->joined_ms = cs_alloc (n * sizeof *b->joined_ms);
 	b->missing = cs_alloc (n * sizeof *b->missing);
+	b->missing_ms = cs_alloc (n * sizeof *b->missing_ms);
 	b->silent = cs_alloc (n * sizeof *b->silent);
 	b->answered = cs_alloc (n * sizeof *b->answered);
 	b->n = n;
@@ -31,6 +32,7 @@
 	free (b->members);
 	free (b->joined_ms);
 	free (b->missing);
+	free (b->missing_ms);
 	free (b->silent);
 	free (b->answered);
 	free (b->name);
--- /dev/null
+++ b/packages/decide/src/formation_choose.c
@@ -0,0 +1,134 @@
+/* Which members a new group takes. */
+#include <string.h>
+
+#include "formation_pool.h"
+
+enum {
+	MAX_LEFT_OUT = 8,   /* lost groups that clash with each other in one domain */
+	LIST_LAG_FACTOR = 2 /* loads that have ended are seen late: keep the weight store busy */
+};
+
+/* What a choice leaves out. */
+typedef struct {
+	const cs_band_t *bands[MAX_LEFT_OUT];
+	size_t n;
+	bool slow; /* members of slow groups */
+} left_out_t;
+
+/* Time until the back end could be a ready member. */
+uint32_t
+cs_pool_join_ms (const cs_form_view_t *v, const cs_backend_t *b, const cs_serving_model_t *m)
+{
+	enum {
+		REJOIN_MS = 200 /* the platform: a join with the model of the last group */
+	};
+	const cs_staging_t *s = cs_formation_staging (v, b);
+	if (s) {
+		/* A join waits for what is being staged. */
+		int64_t left = s->ordered_ms + m->load_ms - v->now_ms;
+		uint32_t wait = left > 0 ? (uint32_t)left : 0;
+		return wait + (strcmp (s->model, m->name) ? m->load_ms : m->warm_ms);
+	}
+	if (!strcmp (b->model, m->name))
+		return REJOIN_MS;
+	return strcmp (b->staged, m->name) ? m->load_ms : m->warm_ms;
+}
+
+/* The group whose head has to lead the new group if this back end is to be a member. */
+static const cs_band_t *
+bound_to (const cs_form_view_t *v, const cs_pool_t *p, size_t i)
+{
+	const cs_band_t *b = cs_formation_band_of (v->f, p->items[i].backend->id);
+	return b && !b->released && !p->items[i].slow ? b : NULL;
+}
+
+/* A group that the members chosen are bound to, though its head is not among them or
+ * another such group's members are; NULL: there is none. */
+static const cs_band_t *
+find_clash (const cs_form_view_t *v, const cs_pool_t *p, const size_t *chosen, size_t n)
+{
+	const cs_band_t *only = NULL;
+	bool led = false;
+	for (size_t k = 0; k < n; k++) {
+		const cs_band_t *b = bound_to (v, p, chosen[k]);
+		if (b && only && b != only)
+			return b;
+		only = b ? b : only;
+	}
+	for (size_t k = 0; k < n && only; k++)
+		led |= !strcmp (p->items[chosen[k]].backend->id, only->members[0]);
+	return only && !led ? only : NULL;
+}
+
+static bool
+is_left_out (const cs_form_view_t *v, const cs_pool_t *p, size_t i, const left_out_t *l)
+{
+	const cs_band_t *b = bound_to (v, p, i);
+	if (p->items[i].taken || (l->slow && p->items[i].slow))
+		return true;
+	for (size_t k = 0; k < l->n; k++)
+		if (b && b == l->bands[k])
+			return true;
+	return false;
+}
+
+/* The candidate that is ready first; d->to if there is none. */
+static size_t
+first_ready (const cs_form_view_t *v, const cs_pool_t *p, const cs_domain_t *d,
+	     const cs_serving_model_t *m, const left_out_t *l, const bool *used)
+{
+	size_t best = d->to;
+	uint32_t least = NEVER;
+	for (size_t i = d->from; i < d->to; i++) {
+		if (used[i - d->from] || is_left_out (v, p, i, l))
+			continue;
+		uint32_t ms = cs_pool_join_ms (v, p->items[i].backend, m);
+		if (ms >= least)
+			continue;
+		best = i;
+		least = ms;
+	}
+	return best;
+}
+
+static cs_choice_t
+choose_without (const cs_form_view_t *v, const cs_pool_t *p, const cs_domain_t *d,
+		const cs_serving_model_t *m, const left_out_t *l, size_t *chosen)
+{
+	cs_choice_t c = {0, 0};
+	bool used[CS_POOL_ITEMS] = {false};
+	for (uint32_t k = 0; k < m->group_size; k++) {
+		size_t i = first_ready (v, p, d, m, l, used);
+		if (i == d->to)
+			return (cs_choice_t){NEVER, 0};
+		used[i - d->from] = true;
+		chosen[k] = i;
+		uint32_t ms = cs_pool_join_ms (v, p->items[i].backend, m);
+		c.ms = ms > c.ms ? ms : c.ms;
+		c.loads += ms > m->warm_ms;
+	}
+	return c;
+}
+
+cs_choice_t
+cs_pool_choose (const cs_form_view_t *v, const cs_pool_t *p, const cs_domain_t *d,
+		const cs_serving_model_t *m, bool from_slow, size_t *chosen)
+{
+	left_out_t l = {.slow = !from_slow};
+	while (l.n < MAX_LEFT_OUT) {
+		cs_choice_t c = choose_without (v, p, d, m, &l, chosen);
+		const cs_band_t *clash =
+			c.ms == NEVER ? NULL : find_clash (v, p, chosen, m->group_size);
+		if (!clash)
+			return c;
+		l.bands[l.n++] = clash;
+	}
+	return (cs_choice_t){NEVER, 0};
+}
+
+bool
+cs_pool_may_add_loads (const cs_form_view_t *v, const cs_serving_service_t *service)
+{
+	return v->now_ms < v->f->eager_until_ms ||
+	       v->loading < LIST_LAG_FACTOR * service->loads_at_once;
+}
--- a/packages/decide/src/formation_gather.c
+++ b/packages/decide/src/formation_gather.c
@@ -4,115 +4,28 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "formation_impl.h"
+#include "formation_pool.h"
 
 enum {
-	MAX_POOL = 1024,     /* free back ends that are looked at in one plan */
-	MAX_DOMAINS = 256,   /* of one service */
-	MAX_LEFT_OUT = 8,    /* lost groups that clash with each other in one domain */
-	LIST_LAG_FACTOR = 2, /* loads that have ended are seen late: keep the weight store busy */
-	LEARN_MS = 500,      /* a planner that begins reads reports for so long first */
-	SETTLED_MS = 700,    /* a first start waits until no back end was added for so long, */
-	FILLING_MS = 1500,   /* a heartbeat and the list's lag */
-	MAX_SETTLE_MS = 5000 /* and no longer than that */
+	LEARN_MS = 500,       /* a planner that begins reads reports for so long first */
+	SETTLED_MS = 700,     /* a first start waits until no back end was added for so long, */
+	MAX_SETTLE_MS = 5000, /* and no longer than that */
+	FILLING_MS = 1500,    /* a heartbeat and the list's lag */
+	BETTER_MS = 2000      /* a group that is forming is given up for one that much sooner */
 };
 
-#define NEVER UINT32_MAX
-
 /* Share of the back ends that groups are wanted for; the others stand by with weights at
  * hand, as a join with them takes 1 s and a load 12 to 16 s. */
 static const double in_groups = 0.8;
 
-typedef struct {
-	const cs_backend_t *backend;
-	bool taken;
-} candidate_t;
-
-/* Free back ends that share zone and domain: a range of the pool. */
-typedef struct {
-	size_t from;
-	size_t to;
-	size_t free; /* not taken */
-	size_t listed;
-} domain_t;
-
-typedef struct {
-	const cs_serving_service_t *service;
-	candidate_t items[MAX_POOL]; /* by zone, domain and id */
-	size_t n;
-	domain_t domains[MAX_DOMAINS];
-	size_t n_domains;
-} pool_t;
-
-static int
-by_place (const void *a, const void *b)
-{
-	const cs_backend_t *x = ((const candidate_t *)a)->backend;
-	const cs_backend_t *y = ((const candidate_t *)b)->backend;
-	int c = strcmp (x->zone, y->zone);
-	if (!c)
-		c = strcmp (x->domain, y->domain);
-	return c ? c : strcmp (x->id, y->id);
-}
+/* Weights of one choice among others: how much a group counts that a zone does not lack,
+ * and how many ms one load counts besides its time, as it holds up others' loads. */
+static const double surplus_urgency = 0.3;
+static const double load_cost_ms = 3000;
+static const double least_ms = 1500; /* of any formation: orders, reports, opening */
 
 static bool
-same_domain (const cs_backend_t *a, const cs_backend_t *b)
-{
-	return !strcmp (a->zone, b->zone) && !strcmp (a->domain, b->domain);
-}
-
-static bool
-is_free (const cs_form_view_t *v, const cs_fleet_entry_t *e)
-{
-	const cs_band_t *b = cs_formation_band_of (v->f, e->now->id);
-	if (e->lapsed_ms || e->now->draining || cs_formation_is_down (v, e))
-		return false;
-	return !b || b->released || b->quiet;
-}
-
-static bool
-belongs (const cs_fleet_entry_t *e, const pool_t *p)
-{
-	return !e->now->draining && !strcmp (e->now->service, p->service->name);
-}
-
-static size_t
-count_listed (const cs_form_view_t *v, const pool_t *p, const cs_backend_t *like)
-{
-	size_t n = 0;
-	for (const cs_fleet_entry_t *e = NULL; (e = cs_fleet_next (v->fleet, e));)
-		n += belongs (e, p) && same_domain (e->now, like);
-	return n;
-}
-
-static void
-split_domains (const cs_form_view_t *v, pool_t *p)
-{
-	size_t to;
-	p->n_domains = 0;
-	for (size_t from = 0; from < p->n && p->n_domains < MAX_DOMAINS; from = to) {
-		const cs_backend_t *first = p->items[from].backend;
-		for (to = from + 1; to < p->n; to++)
-			if (!same_domain (first, p->items[to].backend))
-				break;
-		p->domains[p->n_domains++] =
-			(domain_t){from, to, to - from, count_listed (v, p, first)};
-	}
-}
-
-static void
-fill (const cs_form_view_t *v, pool_t *p)
-{
-	p->n = 0;
-	for (const cs_fleet_entry_t *e = NULL; (e = cs_fleet_next (v->fleet, e));)
-		if (belongs (e, p) && p->n < MAX_POOL && is_free (v, e))
-			p->items[p->n++] = (candidate_t){e->now, false};
-	qsort (p->items, p->n, sizeof *p->items, by_place);
-	split_domains (v, p);
-}
-
-static bool
-is_of (const cs_form_view_t *v, const cs_band_t *b, const pool_t *p, const char *model,
+is_of (const cs_form_view_t *v, const cs_band_t *b, const cs_pool_t *p, const char *model,
        const char *zone)
 {
 	const cs_backend_t *head = cs_fleet_find (v->fleet, b->members[0]);
@@ -122,7 +35,7 @@
 
 /* Groups of the model that serve or form in the zone. */
 static double
-count_groups (const cs_form_view_t *v, const pool_t *p, const char *model, const char *zone)
+count_groups (const cs_form_view_t *v, const cs_pool_t *p, const char *model, const char *zone)
 {
 	double n = 0;
 	cs_band_t *b, *next;
@@ -133,133 +46,26 @@
 	return n;
 }
 
-/* Groups of the model that the zone lacks by its share; each zone has to serve on alone
- * when it is cut off. */
+/* Groups of the model that the zone lacks by its share, and the part of what it should
+ * have; each zone has to serve on alone when it is cut off. */
 static double
-lacking (const cs_form_view_t *v, const pool_t *p, const cs_serving_model_t *m, const char *zone,
+lacking (const cs_form_view_t *v, const cs_pool_t *p, const cs_serving_model_t *m, const char *zone,
 	 double *part)
 {
 	double listed = 0;
 	for (const cs_fleet_entry_t *e = NULL; (e = cs_fleet_next (v->fleet, e));)
-		listed += belongs (e, p) && !strcmp (e->now->zone, zone);
+		listed += !e->now->draining && !strcmp (e->now->service, p->service->name) &&
+			  !strcmp (e->now->zone, zone);
 	double want = m->share * listed * in_groups / m->group_size;
 	double have = count_groups (v, p, m->name, zone);
-	*part = want > 0 ? (want - have) / want : -have;
+	*part = want > 0 && want > have ? (want - have) / want : 0;
 	return want - have;
 }
 
-/* Time until the back end could be a ready member. */
-static uint32_t
-join_ms (const cs_form_view_t *v, const cs_backend_t *b, const cs_serving_model_t *m)
-{
-	enum {
-		REJOIN_MS = 200 /* the platform: a join with the model of the last group */
-	};
-	const cs_staging_t *s = cs_formation_staging (v, b);
-	if (s) {
-		/* A join waits for what is being staged. */
-		int64_t left = s->ordered_ms + m->load_ms - v->now_ms;
-		uint32_t wait = left > 0 ? (uint32_t)left : 0;
-		return wait + (strcmp (s->model, m->name) ? m->load_ms : m->warm_ms);
-	}
-	if (!strcmp (b->model, m->name))
-		return REJOIN_MS;
-	return strcmp (b->staged, m->name) ? m->load_ms : m->warm_ms;
-}
-
-/* The group whose head has to lead the new group if this back end is to be a member. */
-static const cs_band_t *
-bound_to (const cs_form_view_t *v, const pool_t *p, size_t i)
-{
-	const cs_band_t *b = cs_formation_band_of (v->f, p->items[i].backend->id);
-	return b && !b->released ? b : NULL;
-}
-
-/* A group that the members chosen are bound to, though its head is not among them or
- * another such group's members are; NULL: there is none. */
-static const cs_band_t *
-find_clash (const cs_form_view_t *v, const pool_t *p, const size_t *chosen, size_t n)
-{
-	const cs_band_t *only = NULL;
-	bool led = false;
-	for (size_t k = 0; k < n; k++) {
-		const cs_band_t *b = bound_to (v, p, chosen[k]);
-		if (b && only && b != only)
-			return b;
-		only = b ? b : only;
-	}
-	for (size_t k = 0; k < n && only; k++)
-		led |= !strcmp (p->items[chosen[k]].backend->id, only->members[0]);
-	return only && !led ? only : NULL;
-}
-
-static bool
-is_left_out (const cs_band_t *b, const cs_band_t *const *left_out, size_t n)
-{
-	for (size_t i = 0; i < n; i++)
-		if (b && b == left_out[i])
-			return true;
-	return false;
-}
-
-/* Chooses those that are ready first, without members of the groups left out; returns the
- * time of the slowest, NEVER if there are not enough. */
-static uint32_t
-choose_without (const cs_form_view_t *v, const pool_t *p, const domain_t *d,
-		const cs_serving_model_t *m, const cs_band_t *const *left_out, size_t n_left_out,
-		size_t *chosen)
-{
-	uint32_t slowest = 0;
-	bool used[MAX_POOL] = {false};
-	for (uint32_t k = 0; k < m->group_size; k++) {
-		size_t best = d->to;
-		for (size_t i = d->from; i < d->to; i++) {
-			if (p->items[i].taken || used[i] ||
-			    is_left_out (bound_to (v, p, i), left_out, n_left_out))
-				continue;
-			if (best == d->to || join_ms (v, p->items[i].backend, m) <
-						     join_ms (v, p->items[best].backend, m))
-				best = i;
-		}
-		if (best == d->to)
-			return NEVER;
-		used[best] = true;
-		chosen[k] = best;
-		uint32_t ms = join_ms (v, p->items[best].backend, m);
-		slowest = ms > slowest ? ms : slowest;
-	}
-	return slowest;
-}
-
-/* Chooses the members that are ready first; returns the time of the slowest, NEVER if the
- * domain has not enough that may form one group. */
-static uint32_t
-choose (const cs_form_view_t *v, const pool_t *p, const domain_t *d, const cs_serving_model_t *m,
-	size_t *chosen)
-{
-	const cs_band_t *left_out[MAX_LEFT_OUT];
-	for (size_t n = 0; n < MAX_LEFT_OUT; n++) {
-		uint32_t ms = choose_without (v, p, d, m, left_out, n, chosen);
-		const cs_band_t *clash =
-			ms == NEVER ? NULL : find_clash (v, p, chosen, m->group_size);
-		if (!clash)
-			return ms;
-		left_out[n] = clash;
-	}
-	return NEVER;
-}
-
-static bool
-may_add_loads (const cs_form_view_t *v, const cs_serving_service_t *service)
-{
-	return v->now_ms < v->f->eager_until_ms ||
-	       v->loading < LIST_LAG_FACTOR * service->loads_at_once;
-}
-
 /* The former head of the members' last group leads again, so that it moves on first and
  * no late order can open the old group. */
 static void
-lead_by_former_head (const cs_form_view_t *v, const pool_t *p, size_t *chosen, size_t n)
+lead_by_former_head (const cs_form_view_t *v, const cs_pool_t *p, size_t *chosen, size_t n)
 {
 	for (size_t i = 1; i < n; i++) {
 		const char *id = p->items[chosen[i]].backend->id;
@@ -273,21 +79,34 @@
 	}
 }
 
+/* Gives a group up that is still forming: its ready members are free. */
 static void
-propose (cs_form_view_t *v, pool_t *p, domain_t *d, const cs_serving_model_t *m)
+give_up (cs_pool_t *p, cs_domain_t *d, cs_band_t *b)
+{
+	b->lost = b->released = true;
+	for (size_t i = d->from; i < d->to; i++) {
+		if (p->items[i].slow != b)
+			continue;
+		p->items[i].slow = NULL;
+		d->free++;
+	}
+}
+
+static void
+propose (cs_form_view_t *v, cs_pool_t *p, cs_domain_t *d, const cs_serving_model_t *m,
+	 size_t *chosen, cs_choice_t choice)
 {
 	enum {
 		MAX_NAME = 64
 	};
 	cs_formation_t *f = v->f;
-	size_t chosen[MAX_POOL];
-	const char *ids[MAX_POOL];
+	const char *ids[CS_POOL_ITEMS];
 	char name[MAX_NAME];
-	uint32_t ms = choose (v, p, d, m, chosen);
-	if (ms >= m->load_ms)
-		v->loading += m->group_size;
+	v->loading += choice.loads;
 	lead_by_former_head (v, p, chosen, m->group_size);
 	for (uint32_t i = 0; i < m->group_size; i++) {
+		if (p->items[chosen[i]].slow)
+			give_up (p, d, p->items[chosen[i]].slow);
 		p->items[chosen[i]].taken = true;
 		ids[i] = p->items[chosen[i]].backend->id;
 	}
@@ -302,16 +121,10 @@
 		f->proposed[f->n_proposed - 1];
 }
 
-static const char *
-zone_of (const pool_t *p, const domain_t *d)
-{
-	return p->items[d->from].backend->zone;
-}
-
 /* True if back ends of the domain were listed just now: others with weights at hand may
  * follow, as a whole domain is listed within a heartbeat. */
 static bool
-is_filling (const cs_form_view_t *v, const pool_t *p, const domain_t *d)
+is_filling (const cs_form_view_t *v, const cs_pool_t *p, const cs_domain_t *d)
 {
 	for (size_t i = d->from; i < d->to; i++) {
 		const cs_fleet_entry_t *e = cs_fleet_entry (v->fleet, p->items[i].backend->id);
@@ -321,43 +134,17 @@
 	return false;
 }
 
-/* The domain of the zone that can form the model soonest, then the one with most free back
- * ends; NULL: none can form it now. `spare` back ends for each that is listed stay free. */
-static domain_t *
-best_domain (cs_form_view_t *v, pool_t *p, const cs_serving_model_t *m, const char *zone,
-	     double spare, uint32_t *ready_ms)
-{
-	domain_t *best = NULL;
-	uint32_t best_ms = 0;
-	size_t chosen[MAX_POOL];
-	for (size_t i = 0; i < p->n_domains; i++) {
-		domain_t *d = &p->domains[i];
-		size_t kept = (size_t)ceil (spare * (double)d->listed);
-		if (strcmp (zone_of (p, d), zone) != 0 || d->free < m->group_size + kept)
-			continue;
-		uint32_t ms = choose (v, p, d, m, chosen);
-		if (ms >= m->load_ms && (!may_add_loads (v, p->service) || is_filling (v, p, d)))
-			continue;
-		if (best && (ms > best_ms || (ms == best_ms && d->free <= best->free)))
-			continue;
-		best = d;
-		best_ms = ms;
-	}
-	*ready_ms = best_ms;
-	return best;
-}
-
 /* True if members of a lost group of the model in the zone are about to be free: their
  * weights are at hand, which a load is slower than. */
 static bool
-soon_released (const cs_form_view_t *v, const pool_t *p, const cs_serving_model_t *m,
+soon_released (const cs_form_view_t *v, const cs_pool_t *p, const cs_serving_model_t *m,
 	       const char *zone)
 {
 	cs_band_t *b, *next;
 	HASH_ITER (hh, v->f->bands, b, next)
 	{
-		if (!b->lost || b->released || strcmp (b->service, p->service->name) != 0 ||
-		    strcmp (b->model, m->name) != 0)
+		if (!b->lost || b->released || b->quiet ||
+		    strcmp (b->service, p->service->name) != 0 || strcmp (b->model, m->name) != 0)
 			continue;
 		for (size_t i = 1; i < b->n; i++) {
 			const cs_backend_t *other = cs_fleet_find (v->fleet, b->members[i]);
@@ -368,153 +155,119 @@
 	return false;
 }
 
-/* Forms one group of the model that the zone lacks most; false if none can be formed. */
-static bool
-form_lacking (cs_form_view_t *v, pool_t *p, const char *zone)
-{
-	const cs_serving_model_t *model = NULL;
-	domain_t *domain = NULL;
-	double most = 0;
-	for (size_t i = 0; i < p->service->n_models; i++) {
-		const cs_serving_model_t *m = &p->service->models[i];
-		double part;
-		if (!m->group_size || m->group_size > MAX_POOL ||
-		    lacking (v, p, m, zone, &part) < 0.5 || (model && part <= most))
-			continue;
-		uint32_t ms;
-		domain_t *d = best_domain (v, p, m, zone, 0, &ms);
-		if (!d || (ms >= m->load_ms && soon_released (v, p, m, zone)))
-			continue;
-		model = m;
-		domain = d;
-		most = part;
-	}
-	if (model)
-		propose (v, p, domain, model);
-	return model != NULL;
-}
+/* One group that could be formed. */
+typedef struct {
+	const cs_serving_model_t *model;
+	cs_domain_t *domain;
+	double score;
+} option_t;
 
-/* Forms one group beyond the zone's share from what no repair is likely to need. */
+/* What the group would be worth: its size by how much it is lacking, over the time until
+ * it serves; 0: it is not to be formed now. */
+static double
+score_of (cs_form_view_t *v, cs_pool_t *p, const cs_serving_model_t *m, const cs_domain_t *d)
+{
+	const char *zone = cs_pool_zone (p, d);
+	size_t chosen[CS_POOL_ITEMS];
+	size_t spare = (size_t)ceil ((1. - in_groups) * (double)d->listed);
+	double part;
+	bool lacks = lacking (v, p, m, zone, &part) >= 0.5;
+	if (!m->group_size || d->free < m->group_size + (lacks ? 0 : spare))
+		return 0;
+	cs_choice_t c = cs_pool_choose (v, p, d, m, false, chosen);
+	if (c.ms == NEVER)
+		return 0;
+	bool eager = v->now_ms < v->f->eager_until_ms;
+	if (c.loads && !eager &&
+	    (!cs_pool_may_add_loads (v, p->service) || is_filling (v, p, d) ||
+	     soon_released (v, p, m, zone)))
+		return 0;
+	double urgency = lacks ? 1. + part : surplus_urgency;
+	double ms = eager ? least_ms : least_ms + c.ms + load_cost_ms * c.loads;
+	return urgency * m->group_size / ms;
+}
+
+/* Forms the group of the zone that is worth most; false if there is none. */
 static bool
-form_surplus (cs_form_view_t *v, pool_t *p, const char *zone)
-{
-	const cs_serving_model_t *model = NULL;
-	domain_t *domain = NULL;
-	double most = 0;
-	for (size_t i = 0; i < p->service->n_models; i++) {
-		const cs_serving_model_t *m = &p->service->models[i];
-		double part;
-		if (!m->group_size || m->group_size > MAX_POOL)
-			continue;
-		lacking (v, p, m, zone, &part);
-		uint32_t ms;
-		domain_t *d = best_domain (v, p, m, zone, 1. - in_groups, &ms);
-		if (!d || (model && part <= most))
-			continue;
-		model = m;
-		domain = d;
-		most = part;
-	}
-	if (model)
-		propose (v, p, domain, model);
-	return model != NULL;
-}
-
-/* Idle back ends of the domain that have the model's weights at hand. */
-static size_t
-count_warm (const cs_form_view_t *v, const pool_t *p, const domain_t *d,
-	    const cs_serving_model_t *m)
+form_one (cs_form_view_t *v, cs_pool_t *p, const char *zone)
 {
-	size_t n = 0;
-	for (size_t i = d->from; i < d->to; i++) {
-		const cs_backend_t *b = p->items[i].backend;
-		const cs_staging_t *s = cs_formation_staging (v, b);
-		n += !p->items[i].taken &&
-		     (!strcmp (b->staged, m->name) || !strcmp (b->model, m->name) ||
-		      (s && !strcmp (s->model, m->name)));
+	option_t best = {NULL, NULL, 0};
+	size_t chosen[CS_POOL_ITEMS];
+	for (size_t i = 0; i < p->n_domains; i++) {
+		cs_domain_t *d = &p->domains[i];
+		for (size_t k = 0; k < p->service->n_models; k++) {
+			const cs_serving_model_t *m = &p->service->models[k];
+			if (strcmp (cs_pool_zone (p, d), zone) != 0)
+				continue;
+			double score = score_of (v, p, m, d);
+			bool better =
+				score > best.score || (score > 0 && score == best.score &&
+						       best.domain && d->free > best.domain->free);
+			if (better)
+				best = (option_t){m, d, score};
+		}
 	}
-	return n;
-}
-
-static size_t
-members_in (const cs_form_view_t *v, const cs_band_t *b, const pool_t *p, const domain_t *d,
-	    const char *model)
-{
-	const cs_backend_t *head = cs_fleet_find (v->fleet, b->members[0]);
-	bool counts = !b->lost && head && !strcmp (b->model, model) &&
-		      same_domain (head, p->items[d->from].backend);
-	return counts ? b->n : 0;
-}
-
-/* Members of the model's groups in the domain, formed or proposed. */
-static double
-count_members (const cs_form_view_t *v, const pool_t *p, const domain_t *d, const char *model)
-{
-	size_t n = 0;
-	cs_band_t *b, *next;
-	HASH_ITER (hh, v->f->bands, b, next)
-	n += members_in (v, b, p, d, model);
-	for (size_t i = 0; i < v->f->n_proposed; i++)
-		n += members_in (v, v->f->proposed[i], p, d, model);
-	return (double)n;
+	if (!best.model)
+		return false;
+	cs_choice_t c = cs_pool_choose (v, p, best.domain, best.model, false, chosen);
+	propose (v, p, best.domain, best.model, chosen, c);
+	return true;
 }
 
-/* The model with most members in the domain for each back end that stands by with it; the
- * first one counts most, as a group lacks one member at a time. */
-static const cs_serving_model_t *
-model_to_stage (const cs_form_view_t *v, const pool_t *p, const domain_t *d)
+/* Time until the slowest member of a group that is forming is ready. */
+static uint32_t
+remaining_ms (const cs_form_view_t *v, const cs_band_t *b, const cs_serving_model_t *m)
 {
-	enum {
-		WARM_WEIGHT = 3
-	};
-	const cs_serving_model_t *best = NULL;
-	double most = 0;
-	for (size_t i = 0; i < p->service->n_models; i++) {
-		const cs_serving_model_t *m = &p->service->models[i];
-		double need = count_members (v, p, d, m->name) /
-			      (double)(1 + WARM_WEIGHT * count_warm (v, p, d, m));
-		if (best && need <= most)
+	int64_t most = 0;
+	for (size_t i = 0; i < b->n; i++) {
+		const cs_backend_t *s = cs_fleet_find (v->fleet, b->members[i]);
+		if (!s || cs_band_has_ready (b, s))
 			continue;
-		best = m;
-		most = need;
+		bool warm = !strcmp (s->staged, b->model);
+		int64_t began = b->joined_ms[i] ? b->joined_ms[i] : v->now_ms;
+		int64_t left = began + (warm ? m->warm_ms : m->load_ms) - v->now_ms;
+		most = left > most ? left : most;
 	}
-	return best;
+	return (uint32_t)most;
 }
 
-static void
-stage (cs_form_view_t *v, const pool_t *p, const domain_t *d)
+/* Forms a group sooner than one that waits for a load, from its ready members and what
+ * has become free since; false if none can be. */
+static bool
+improve_one (cs_form_view_t *v, cs_pool_t *p, cs_domain_t *d)
 {
+	size_t chosen[CS_POOL_ITEMS];
 	for (size_t i = d->from; i < d->to; i++) {
-		const cs_backend_t *b = p->items[i].backend;
-		if (p->items[i].taken || *b->staged || *b->model || b->state == CS_MEMBER_JOINING)
+		cs_band_t *b = p->items[i].slow;
+		const cs_serving_model_t *m = b ? cs_serving_model (p->service, b->model) : NULL;
+		if (!m || p->items[i].taken)
 			continue;
-		if (cs_formation_staging (v, b))
+		cs_choice_t c = cs_pool_choose (v, p, d, m, true, chosen);
+		if (c.ms == NEVER || c.loads || c.ms + BETTER_MS >= remaining_ms (v, b, m))
 			continue;
-		if (!may_add_loads (v, p->service) || !cs_formation_may_load (v, p->service))
-			return;
-		const cs_serving_model_t *m = model_to_stage (v, p, d);
-		cs_formation_note_staging (v, b->id, m->name);
-		cs_form_action_t *a =
-			cs_formation_act (v->f, CS_FORM_STAGE, "idle without weights");
-		a->id = b->id;
-		a->address = b->address;
-		a->model = m->name;
+		give_up (p, d, b);
+		propose (v, p, d, m, chosen, c);
+		return true;
 	}
+	return false;
 }
 
 static void
-gather_service (cs_form_view_t *v, pool_t *p)
+gather_service (cs_form_view_t *v, cs_pool_t *p)
 {
-	fill (v, p);
+	cs_pool_fill (v, p);
+	for (size_t i = 0; i < p->n_domains; i++)
+		while (improve_one (v, p, &p->domains[i]))
+			;
 	for (size_t i = 0; i < p->n_domains; i++) {
-		const char *zone = zone_of (p, &p->domains[i]);
-		if (i && !strcmp (zone, zone_of (p, &p->domains[i - 1])))
+		const char *zone = cs_pool_zone (p, &p->domains[i]);
+		if (i && !strcmp (zone, cs_pool_zone (p, &p->domains[i - 1])))
 			continue;
-		while (form_lacking (v, p, zone) || form_surplus (v, p, zone))
+		while (form_one (v, p, zone))
 			;
 	}
 	for (size_t i = 0; i < p->n_domains; i++)
-		stage (v, p, &p->domains[i]);
+		cs_pool_stage (v, p, &p->domains[i]);
 }
 
 static bool
@@ -538,7 +291,7 @@
 	if (!has_settled (v))
 		return;
 	for (size_t s = 0; s < v->serving->n_services; s++) {
-		pool_t p = {.service = &v->serving->services[s]};
+		cs_pool_t p = {.service = &v->serving->services[s]};
 		if (p.service->n_models)
 			gather_service (v, &p);
 	}
--- /dev/null
+++ b/packages/decide/src/formation_pool.c
@@ -0,0 +1,90 @@
+/* Which back ends are free for new groups. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "formation_pool.h"
+
+static int
+by_place (const void *a, const void *b)
+{
+	const cs_backend_t *x = ((const cs_candidate_t *)a)->backend;
+	const cs_backend_t *y = ((const cs_candidate_t *)b)->backend;
+	int c = strcmp (x->zone, y->zone);
+	if (!c)
+		c = strcmp (x->domain, y->domain);
+	return c ? c : strcmp (x->id, y->id);
+}
+
+bool
+cs_pool_same_domain (const cs_backend_t *a, const cs_backend_t *b)
+{
+	return !strcmp (a->zone, b->zone) && !strcmp (a->domain, b->domain);
+}
+
+const char *
+cs_pool_zone (const cs_pool_t *p, const cs_domain_t *d)
+{
+	return p->items[d->from].backend->zone;
+}
+
+/* A group of this planner's own that was never opened: its members may be taken at once. */
+static bool
+is_forming (const cs_band_t *b)
+{
+	return !b->lost && !b->opened && !b->inherited;
+}
+
+/* Adds the back end if it is free, or a ready member of a group that is still forming. */
+static void
+consider (const cs_form_view_t *v, cs_pool_t *p, const cs_fleet_entry_t *e)
+{
+	cs_band_t *b = cs_formation_band_of (v->f, e->now->id);
+	cs_candidate_t c = {e->now, NULL, false};
+	if (e->lapsed_ms || e->now->draining || cs_formation_is_down (v, e))
+		return;
+	if (b && !b->released && !b->quiet) {
+		if (!is_forming (b) || !cs_band_has_ready (b, e->now))
+			return;
+		c.slow = b;
+	}
+	p->items[p->n++] = c;
+}
+
+static size_t
+count_listed (const cs_form_view_t *v, const cs_pool_t *p, const cs_backend_t *like)
+{
+	size_t n = 0;
+	for (const cs_fleet_entry_t *e = NULL; (e = cs_fleet_next (v->fleet, e));)
+		n += !e->now->draining && !strcmp (e->now->service, p->service->name) &&
+		     cs_pool_same_domain (e->now, like);
+	return n;
+}
+
+static void
+split_domains (const cs_form_view_t *v, cs_pool_t *p)
+{
+	size_t to;
+	p->n_domains = 0;
+	for (size_t from = 0; from < p->n && p->n_domains < CS_POOL_DOMAINS; from = to) {
+		const cs_backend_t *first = p->items[from].backend;
+		cs_domain_t d = {.from = from, .listed = count_listed (v, p, first)};
+		for (to = from; to < p->n; to++) {
+			if (!cs_pool_same_domain (first, p->items[to].backend))
+				break;
+			d.free += !p->items[to].slow;
+		}
+		d.to = to;
+		p->domains[p->n_domains++] = d;
+	}
+}
+
+void
+cs_pool_fill (const cs_form_view_t *v, cs_pool_t *p)
+{
+	p->n = 0;
+	for (const cs_fleet_entry_t *e = NULL; (e = cs_fleet_next (v->fleet, e));)
+		if (!strcmp (e->now->service, p->service->name) && p->n < CS_POOL_ITEMS)
+			consider (v, p, e);
+	qsort (p->items, p->n, sizeof *p->items, by_place);
+	split_domains (v, p);
+}
--- /dev/null
+++ b/packages/decide/src/formation_pool.h
@@ -0,0 +1,55 @@
+/* Back ends that a new group may be formed from, by domain. */
+#ifndef CS_FORMATION_POOL_H
+#define CS_FORMATION_POOL_H
+
+#include "formation_impl.h"
+
+#define NEVER UINT32_MAX /* time of what can't be done */
+
+enum {
+	CS_POOL_ITEMS = 1024, /* back ends that are looked at in one plan */
+	CS_POOL_DOMAINS = 256 /* of one service */
+};
+
+typedef struct {
+	const cs_backend_t *backend;
+	cs_band_t *slow; /* a ready member of this group, which waits for a load; NULL: free */
+	bool taken;
+} cs_candidate_t;
+
+/* Candidates that share zone and domain: a range of the pool. */
+typedef struct {
+	size_t from;
+	size_t to;
+	size_t free; /* neither taken nor members of slow groups */
+	size_t listed;
+} cs_domain_t;
+
+typedef struct {
+	const cs_serving_service_t *service;
+	cs_candidate_t items[CS_POOL_ITEMS]; /* by zone, domain and id */
+	size_t n;
+	cs_domain_t domains[CS_POOL_DOMAINS];
+	size_t n_domains;
+} cs_pool_t;
+
+/* What a choice of members promises. */
+typedef struct {
+	uint32_t ms;    /* until the last member is ready; NEVER: there are not enough */
+	uint32_t loads; /* members that have to load the weights */
+} cs_choice_t;
+
+void cs_pool_fill (const cs_form_view_t *v, cs_pool_t *p);
+bool cs_pool_same_domain (const cs_backend_t *a, const cs_backend_t *b);
+const char *cs_pool_zone (const cs_pool_t *p, const cs_domain_t *d);
+/* Time until the back end could be a ready member. */
+uint32_t cs_pool_join_ms (const cs_form_view_t *v, const cs_backend_t *b,
+			  const cs_serving_model_t *m);
+/* Chooses the members that are ready first, from slow groups too if told so. */
+cs_choice_t cs_pool_choose (const cs_form_view_t *v, const cs_pool_t *p, const cs_domain_t *d,
+			    const cs_serving_model_t *m, bool from_slow, size_t *chosen);
+bool cs_pool_may_add_loads (const cs_form_view_t *v, const cs_serving_service_t *service);
+/* Orders idle back ends of the domain without weights to stage some. */
+void cs_pool_stage (cs_form_view_t *v, const cs_pool_t *p, const cs_domain_t *d);
+
+#endif
--- /dev/null
+++ b/packages/decide/src/formation_stage.c
@@ -0,0 +1,87 @@
+/* Back ends that stand by get weights, so that repairs need no load. */
+#include <string.h>
+
+#include "formation_pool.h"
+
+/* Idle back ends of the domain that have the model's weights at hand. */
+static size_t
+count_warm (const cs_form_view_t *v, const cs_pool_t *p, const cs_domain_t *d,
+	    const cs_serving_model_t *m)
+{
+	size_t n = 0;
+	for (size_t i = d->from; i < d->to; i++) {
+		const cs_backend_t *b = p->items[i].backend;
+		const cs_staging_t *s = cs_formation_staging (v, b);
+		n += !p->items[i].taken &&
+		     (!strcmp (b->staged, m->name) || !strcmp (b->model, m->name) ||
+		      (s && !strcmp (s->model, m->name)));
+	}
+	return n;
+}
+
+static size_t
+members_in (const cs_form_view_t *v, const cs_band_t *b, const cs_pool_t *p, const cs_domain_t *d,
+	    const char *model)
+{
+	const cs_backend_t *head = cs_fleet_find (v->fleet, b->members[0]);
+	bool counts = !b->lost && head && !strcmp (b->model, model) &&
+		      cs_pool_same_domain (head, p->items[d->from].backend);
+	return counts ? b->n : 0;
+}
+
+/* Members of the model's groups in the domain, formed or proposed. */
+static double
+count_members (const cs_form_view_t *v, const cs_pool_t *p, const cs_domain_t *d, const char *model)
+{
+	size_t n = 0;
+	cs_band_t *b, *next;
+	HASH_ITER (hh, v->f->bands, b, next)
+	n += members_in (v, b, p, d, model);
+	for (size_t i = 0; i < v->f->n_proposed; i++)
+		n += members_in (v, v->f->proposed[i], p, d, model);
+	return (double)n;
+}
+
+/* The model with most members in the domain for each back end that stands by with it; the
+ * first one counts most, as a group lacks one member at a time. */
+static const cs_serving_model_t *
+model_to_stage (const cs_form_view_t *v, const cs_pool_t *p, const cs_domain_t *d)
+{
+	enum {
+		WARM_WEIGHT = 3
+	};
+	const cs_serving_model_t *best = NULL;
+	double most = 0;
+	for (size_t i = 0; i < p->service->n_models; i++) {
+		const cs_serving_model_t *m = &p->service->models[i];
+		double need = count_members (v, p, d, m->name) /
+			      (double)(1 + WARM_WEIGHT * count_warm (v, p, d, m));
+		if (best && need <= most)
+			continue;
+		best = m;
+		most = need;
+	}
+	return best;
+}
+
+void
+cs_pool_stage (cs_form_view_t *v, const cs_pool_t *p, const cs_domain_t *d)
+{
+	for (size_t i = d->from; i < d->to; i++) {
+		const cs_backend_t *b = p->items[i].backend;
+		if (p->items[i].taken || *b->staged || *b->model || b->state == CS_MEMBER_JOINING)
+			continue;
+		if (cs_formation_staging (v, b))
+			continue;
+		if (!cs_pool_may_add_loads (v, p->service) ||
+		    !cs_formation_may_load (v, p->service))
+			return;
+		const cs_serving_model_t *m = model_to_stage (v, p, d);
+		cs_formation_note_staging (v, b->id, m->name);
+		cs_form_action_t *a =
+			cs_formation_act (v->f, CS_FORM_STAGE, "idle without weights");
+		a->id = b->id;
+		a->address = b->address;
+		a->model = m->name;
+	}
+}
--- a/packages/decide/src/formation_tend.c
+++ b/packages/decide/src/formation_tend.c
@@ -143,6 +143,18 @@
 			probe (v, b, i, "its group does not answer");
 }
 
+/* Keeps asking members of an open group that are unlisted whether they work on. */
+static void
+probe_unlisted (cs_form_view_t *v, cs_band_t *b)
+{
+	if (!b->unlisted || !b->opened || v->now_ms - b->probed_ms < PROBE_MS)
+		return;
+	b->probed_ms = v->now_ms;
+	for (size_t i = 1; i < b->n; i++)
+		if (b->missing[i])
+			probe (v, b, i, "it is unlisted");
+}
+
 static void
 tend_whole (cs_form_view_t *v, cs_band_t *b, const cs_serving_service_t *service)
 {
@@ -157,6 +169,7 @@
 		ready += cs_band_has_ready (b, cs_fleet_find (v->fleet, b->members[i]));
 	}
 	probe_members (v, b);
+	probe_unlisted (v, b);
 	if (v->f->disabled & CS_FORMATION_NO_READY_CHECK)
 		ready = b->n;
 	if (ready == b->n && head && head->epoch == b->epoch && head->state == CS_MEMBER_READY)
--- a/packages/decide/src/formation_watch.c
+++ b/packages/decide/src/formation_watch.c
@@ -5,9 +5,10 @@
 #include "formation_impl.h"
 
 enum {
-	MAX_ADOPTED = 64,  /* members of a group that the ledger no longer names */
-	CHECKED_MS = 1000, /* a look at a head is fresh for so long */
-	RELISTED_MS = 2500 /* after a cut, entries are back within 2 s of the first one */
+	MAX_ADOPTED = 64,          /* members of a group that the ledger no longer names */
+	UNLISTED_PROBED_MS = 1500, /* by then two probes have shown what an unlisted member does */
+	CHECKED_MS = 1000,         /* a look at a head is fresh for so long */
+	RELISTED_MS = 2500         /* after a cut, entries are back within 2 s of the first one */
 };
 
 bool
@@ -46,18 +47,38 @@
 	memset (b->silent, 0, b->n * sizeof *b->silent);
 }
 
+/* A member of an open group that does not reach the list may work on: it is lost only when
+ * it does not answer either. The head is different, as no requests go to one that is
+ * unlisted. */
+static bool
+works_unlisted (const cs_form_view_t *v, cs_band_t *b, size_t i)
+{
+	if (!i || !b->opened)
+		return false;
+	if (!b->missing_ms[i])
+		b->missing_ms[i] = v->now_ms;
+	if (b->answered[i])
+		return true;
+	return b->silent[i] < CS_FORMATION_SILENT_PROBES &&
+	       v->now_ms - b->missing_ms[i] < UNLISTED_PROBED_MS;
+}
+
 /* Notes which members are unlisted; true if one is, and not just others of a cut that has
  * ended are listed again. */
 static bool
 misses_member (const cs_form_view_t *v, cs_band_t *b)
 {
 	bool missing = false;
+	b->unlisted = false;
 	for (size_t i = 0; i < b->n; i++) {
 		bool gone = !cs_fleet_find (v->fleet, b->members[i]);
 		if (b->missing[i] && !gone)
 			note_relisted (v, b);
+		if (!gone)
+			b->missing_ms[i] = 0;
 		b->missing[i] = gone;
-		missing |= gone;
+		b->unlisted |= gone;
+		missing |= gone && !works_unlisted (v, b, i);
 	}
 	return missing && !(b->relisted_ms && v->now_ms - b->relisted_ms < RELISTED_MS);
 }
--- a/packages/forward/src/targets.c
+++ b/packages/forward/src/targets.c
@@ -3,10 +3,6 @@
 
 #include "forward.h"
 
-enum {
-	QUEUE_FACTOR = 2 /* a back end queues about as many requests as it runs */
-};
-
 void
 cs_targets_service (cs_buf_t *out, const char *service, cs_str_t model)
 {
@@ -24,7 +20,7 @@
 		.zone = b->zone,
 		.version = "",
 		.fence = fence,
-		.max_concurrent = slots * QUEUE_FACTOR,
+		.max_concurrent = slots,
 		.serving = serving,
 		.leaving = b->draining,
 		.reachable = true,
