--- a/packages/decide/include/cs/router.h
+++ b/packages/decide/include/cs/router.h
@@ -46,6 +46,7 @@
 	uint32_t slow_start_ms; /* 0: 10000 */
 	uint32_t eject_ms;      /* 0: 10000; doubles with each repeat, up to 8 times */
 	uint32_t bound_percent; /* affinity: load up to this share of the mean; 0: 125 */
+	uint32_t report_ms;     /* 0: 10000; older reports of load say nothing */
 	uint32_t zone_penalty;  /* requests; 0: own zone first */
 	uint32_t disabled;      /* cs_router_disabled_t */
 } cs_router_options_t;
@@ -88,6 +89,7 @@
 	const char *const *avoid; /* targets tried before */
 	size_t n_avoid;
 	const char *only; /* this target or none; NULL: any */
+	bool any_load;    /* also targets at capacity, where no other may take it */
 } cs_route_query_t;
 
 typedef struct {
--- a/packages/decide/src/formation_gather.c
+++ b/packages/decide/src/formation_gather.c
@@ -162,6 +162,17 @@
 	double score;
 } option_t;
 
+/* True if the zone lacks a group of some model: what is free is kept for it. */
+static bool
+lacks_any (const cs_form_view_t *v, const cs_pool_t *p, const char *zone)
+{
+	double part;
+	for (size_t i = 0; i < p->service->n_models; i++)
+		if (lacking (v, p, &p->service->models[i], zone, &part) >= 0.5)
+			return true;
+	return false;
+}
+
 /* What the group would be worth: its size by how much it is lacking, over the time until
  * it serves; 0: it is not to be formed now. */
 static double
@@ -175,7 +186,7 @@
 	if (!m->group_size || d->free < m->group_size + (lacks ? 0 : spare))
 		return 0;
 	cs_choice_t c = cs_pool_choose (v, p, d, m, false, chosen);
-	if (c.ms == NEVER)
+	if (c.ms == NEVER || (!lacks && (c.loads || lacks_any (v, p, zone))))
 		return 0;
 	bool eager = v->now_ms < v->f->eager_until_ms;
 	if (c.loads && !eager &&
--- a/packages/decide/src/router.c
+++ b/packages/decide/src/router.c
@@ -8,7 +8,8 @@
 	EJECT_PERCENT = 10,
 	SLOW_START_MS = 10000,
 	EJECT_MS = 10000,
-	BOUND_PERCENT = 125
+	BOUND_PERCENT = 125,
+	REPORT_MS = 10000
 };
 
 static uint32_t
@@ -27,6 +28,7 @@
 	o->slow_start_ms = value_or (o->slow_start_ms, SLOW_START_MS);
 	o->eject_ms = value_or (o->eject_ms, EJECT_MS);
 	o->bound_percent = value_or (o->bound_percent, BOUND_PERCENT);
+	o->report_ms = value_or (o->report_ms, REPORT_MS);
 	cs_rng_init (&r->rng, o->seed);
 }
 
@@ -76,7 +78,7 @@
 		serving++;
 		bool out = !q->only && now_ms < t->ejected_until_ms;
 		if (out || cs_str_listed (q->avoid, q->n_avoid, t->name) ||
-		    !has_room (r, t, now_ms))
+		    !(q->any_load || has_room (r, t, now_ms)))
 			continue;
 		r->eligible[(*n)++] = t;
 	}
--- a/packages/decide/src/router_target.c
+++ b/packages/decide/src/router_target.c
@@ -4,10 +4,6 @@
 #include "cs/hash.h"
 #include "router_impl.h"
 
-enum {
-	REPORT_MS = 10000 /* older reports say nothing */
-};
-
 static const double smoothing = 0.2;        /* share of the newest sample */
 static const double slow_start_least = 0.1; /* share of load at the begin */
 
@@ -30,7 +26,7 @@
 cs_target_load (const cs_router_t *r, const cs_target_t *t, int64_t now_ms)
 {
 	double own = t->in_flight;
-	if (!t->reported || now_ms - t->report_ms > REPORT_MS)
+	if (!t->reported || now_ms - t->report_ms > r->options.report_ms)
 		return own;
 	double load = t->report_load;
 	if (!(r->options.disabled & CS_ROUTER_NO_CORRECTION))
--- a/packages/forward/src/call.c
+++ b/packages/forward/src/call.c
@@ -17,6 +17,7 @@
 {
 	cs_call_t *c = cs_alloc (sizeof *c);
 	c->forward = f;
+	c->number = ++f->next_number;
 	c->connection = connection;
 	c->target = cs_str_dup (cs_str (target));
 	c->received_ms = cs_now_ms ();
@@ -33,6 +34,7 @@
 	struct ev_loop *loop = f->task->kernel->loop;
 	cs_httpd_leave_stop (&c->leave, loop);
 	ev_timer_stop (loop, &c->again);
+	cs_queue_leave (c);
 	c->gone = true; /* nothing follows from the end of its attempt */
 	cs_sending_abandon (c);
 	if (c->counted) {
--- a/packages/forward/src/dispatch.c
+++ b/packages/forward/src/dispatch.c
@@ -14,40 +14,76 @@
 	BUSY_RETRY_MS = 400 /* some requests end in that time */
 };
 
+static cs_status_t
+pick_from (cs_call_t *c, cs_route_query_t *q, cs_route_t *out)
+{
+	cs_forward_t *f = c->forward;
+	int64_t now = cs_now_ms ();
+	cs_status_t status = cs_router_pick (&f->router, now, q, out);
+	/* What has begun goes on, also at a busy back end. */
+	if (status != CS_EXHAUSTED || !c->runs)
+		return status;
+	q->any_load = true;
+	return cs_router_pick (&f->router, now, q, out);
+}
+
 /* Suspects and those tried before come last. */
 static cs_status_t
 pick (cs_call_t *c, const char *service, cs_route_t *out)
 {
 	cs_forward_t *f = c->forward;
 	const char *avoid[MAX_AVOIDED + CS_OUTCOME_MAX_TRIES];
-	int64_t now = cs_now_ms ();
 	cs_route_query_t q = {.service = service, .version = "", .adapter = "", .avoid = avoid};
 	for (uint32_t i = 0; i < c->tries; i++)
 		avoid[q.n_avoid++] = c->tried[i];
 	size_t tried = q.n_avoid;
-	q.n_avoid += cs_suspects_list (&f->suspects, now, avoid + tried, MAX_AVOIDED);
-	cs_status_t status = cs_router_pick (&f->router, now, &q, out);
+	q.n_avoid += cs_suspects_list (&f->suspects, cs_now_ms (), avoid + tried, MAX_AVOIDED);
+	cs_status_t status = pick_from (c, &q, out);
 	if (status == CS_OK || q.n_avoid == tried)
 		return status;
+	/* Only suspects are left, or all others are busy. */
 	q.n_avoid = tried;
-	return cs_router_pick (&f->router, now, &q, out);
+	q.any_load = false;
+	return status == CS_EXHAUSTED ? status : pick_from (c, &q, out);
 }
 
-static void
-refuse (cs_call_t *c, cs_status_t status, const char *service)
+void
+cs_dispatch_refuse (cs_call_t *c, const char *reason, uint32_t retry_after_ms)
 {
-	const char *reason = status == CS_EXHAUSTED ? "busy" : "no-back-end";
 	cs_log_event ("forward", "refused",
 		      "id=%.*s reason=%s service=%s runs=%u list_away=%d back_ends=%u",
-		      CS_STR_ARG (cs_call_id (c)), reason, service, c->runs, c->forward->list_away,
-		      (unsigned)HASH_COUNT (c->forward->fleet.entries));
+		      CS_STR_ARG (cs_call_id (c)), reason, c->service, c->runs,
+		      c->forward->list_away, (unsigned)HASH_COUNT (c->forward->fleet.entries));
 	if (c->has_head)
 		cs_reply_end (c, false);
 	else if (c->runs)
 		cs_reply_own (c, STATUS_BAD_GATEWAY, reason, 0);
 	else
-		cs_reply_own (c, STATUS_UNAVAILABLE, reason,
-			      status == CS_EXHAUSTED ? BUSY_RETRY_MS : NO_TARGET_RETRY_MS);
+		cs_reply_own (c, STATUS_UNAVAILABLE, reason, retry_after_ms);
+}
+
+bool
+cs_dispatch_waiting (cs_call_t *c, const char *service)
+{
+	cs_route_t chosen;
+	cs_targets_refresh (c->forward);
+	if (pick (c, service, &chosen) == CS_EXHAUSTED)
+		return false;
+	c->line = NULL;
+	cs_dispatch (c);
+	return true;
+}
+
+/* Nothing takes the request now. */
+static void
+hold_or_refuse (cs_call_t *c, cs_status_t status, const char *service)
+{
+	int64_t retry_after_ms = BUSY_RETRY_MS;
+	if (status == CS_EXHAUSTED && !c->tries && cs_queue_offer (c, service, &retry_after_ms))
+		return;
+	bool busy = status == CS_EXHAUSTED;
+	cs_dispatch_refuse (c, busy ? "busy" : "no-back-end",
+			    busy ? (uint32_t)retry_after_ms : NO_TARGET_RETRY_MS);
 }
 
 void
@@ -68,6 +104,6 @@
 	if (status == CS_OK)
 		status = cs_sending_start (c, chosen.name, service.p);
 	if (status != CS_OK)
-		refuse (c, status, service.p);
+		hold_or_refuse (c, status, service.p);
 	cs_buf_finish (&service);
 }
--- a/packages/forward/src/entry.c
+++ b/packages/forward/src/entry.c
@@ -60,6 +60,7 @@
 	c->gone = true;
 	cs_log_event ("forward", "caller_left", "id=%.*s after_ms=%lld",
 		      CS_STR_ARG (cs_call_id (c)), (long long)(cs_now_ms () - c->received_ms));
+	cs_queue_leave (c);
 	cs_sending_abandon (c);
 	ev_timer_stop (c->forward->task->kernel->loop, &c->again);
 	cs_reply_resume (c);
--- a/packages/forward/src/forward.c
+++ b/packages/forward/src/forward.c
@@ -13,6 +13,7 @@
 	BUDGET_PERCENT_OF =
 		90,        /* of the ratio that all daemons may repeat: views differ a little */
 	ZONE_PENALTY = 1,  /* requests: another zone is some ms away, within one region */
+	REPORT_MS = 1500,  /* requests last about a second: older reports are of others */
 	SLOW_START_MS = 1, /* a group is ready when it opens */
 	EJECT_PERCENT = 20 /* of a service's back ends that may be kept out as slow */
 };
@@ -65,6 +66,7 @@
 					    .zone = f->host->zone,
 					    .seed = seed,
 					    .slow_start_ms = SLOW_START_MS,
+					    .report_ms = REPORT_MS,
 					    .zone_penalty = ZONE_PENALTY,
 					    .eject_percent = EJECT_PERCENT};
 	const cs_retry_options_t retry = {
@@ -75,6 +77,7 @@
 	cs_router_init (&f->router, &router);
 	cs_retry_init (&f->retry, &retry);
 	cs_rng_init (&f->rng, seed);
+	cs_queue_init (f);
 	ev_timer_init (&f->tick, on_tick, TICK_MS / 1000., TICK_MS / 1000.);
 	f->tick.data = f;
 	cs_status_t status = cs_http_init (&f->client, task->kernel->loop);
@@ -162,6 +165,7 @@
 	cs_http_finish (&f->client);
 	cs_entry_stop (f);
 	cs_status_stop (f);
+	cs_queue_finish (f);
 	cs_router_finish (&f->router);
 	cs_suspects_finish (&f->suspects);
 	cs_patience_finish (&f->patience);
--- a/packages/forward/src/forward.h
+++ b/packages/forward/src/forward.h
@@ -6,6 +6,7 @@
 #ifndef CS_FORWARD_H
 #define CS_FORWARD_H
 
+#include "cs/admission.h"
 #include "cs/fleet.h"
 #include "cs/host.h"
 #include "cs/host_messages.h"
@@ -20,6 +21,7 @@
 #include "cs/suspects.h"
 
 typedef struct cs_call cs_call_t;
+typedef struct cs_line cs_line_t;
 
 typedef struct {
 	cs_task_t *task;
@@ -40,6 +42,9 @@
 	cs_patience_t patience;
 	cs_rng_t rng;
 	cs_call_t *calls;
+	uint64_t next_number;
+	cs_line_t *lines; /* uthash by service: who waits for a place */
+	ev_timer poll;    /* while anybody waits */
 	ev_timer tick;
 	int64_t stopping_ms; /* when a planned stop began; 0: none */
 	bool stopped;
@@ -100,6 +105,8 @@
 	cs_forward_t *forward;
 	struct MHD_Connection *connection;
 	cs_call_phase_t phase;
+	uint64_t number; /* of this daemon's requests */
+	cs_line_t *line; /* that it waits in; NULL: it doesn't */
 	bool begun;
 	bool suspended;
 	bool gone;    /* the caller has left */
@@ -152,6 +159,19 @@
 void cs_admit (cs_call_t *c);
 /* dispatch.c: sends the request to a back end, or refuses it. */
 void cs_dispatch (cs_call_t *c);
+/* Sends one that waits to a back end; false if there is still no place. */
+bool cs_dispatch_waiting (cs_call_t *c, const char *service);
+void cs_dispatch_refuse (cs_call_t *c, const char *reason, uint32_t retry_after_ms);
+/* queue.c */
+void cs_queue_init (cs_forward_t *f);
+void cs_queue_finish (cs_forward_t *f);
+/* True if the request waits now; else when its caller may come again. */
+bool cs_queue_offer (cs_call_t *c, const char *service, int64_t *retry_after_ms);
+void cs_queue_leave (cs_call_t *c);
+/* An attempt at the service has ended. */
+void cs_queue_ended (cs_forward_t *f, const char *service);
+/* Sends on and refuses who waits. */
+void cs_queue_run (cs_forward_t *f);
 /* targets.c: brings the router up to date with the fleet. */
 void cs_targets_refresh (cs_forward_t *f);
 /* The router's name of what serves the model of a service. */
