--- a/packages/decide/include/cs/suspects.h
+++ b/packages/decide/include/cs/suspects.h
@@ -32,6 +32,7 @@
 void cs_suspects_finish (cs_suspects_t *s);
 /* True if it was none already. */
 bool cs_suspects_failed (cs_suspects_t *s, int64_t now_ms, const char *id, uint64_t life);
+/* It answered some request, or sent a part of an answer. */
 void cs_suspects_answered (cs_suspects_t *s, int64_t now_ms, const char *id);
 /* When it answered last; 0: not lately. */
 int64_t cs_suspects_answered_ms (const cs_suspects_t *s, const char *id);
--- a/packages/decide/src/formation.c
+++ b/packages/decide/src/formation.c
@@ -321,7 +321,7 @@
 {
 	if (f->disabled & CS_FORMATION_NO_LATE_OPENS)
 		return false;
-	if (b->open_unanswered)
+	if (b->open_unanswered || now_ms - b->opened_ms < CS_FORMATION_OPENING_MS)
 		return true;
 	return b->doubt_ms && now_ms - b->doubt_ms < CS_FORMATION_ORDER_LATE_MS;
 }
--- a/packages/decide/src/formation_tend.c
+++ b/packages/decide/src/formation_tend.c
@@ -6,12 +6,12 @@
 enum {
 	REPEAT_MS = 1500, /* an order without visible effect is sent again; the list lags 0.8 s */
 	CLOSE_WAIT_MS = 4000,   /* then the requests of a closing group are ended */
-	SUSPECT_PROBE_MS = 400, /* between the rounds of probes of a suspected group */
+	SUSPECT_PROBE_MS = 200, /* between the rounds of probes of a suspected group */
 	SUSPECT_ROUNDS = CS_FORMATION_SILENT_PROBES,
 	SUSPECT_REST_MS = 2000, /* a group that was found sound is not probed again before that */
 	RELISTED_MS = 4000, /* three heartbeats: who was cut off with a member is back as well */
 
-	CHECK_PROBE_MS = 300,
+	CHECK_PROBE_MS = 200,
 	PROBE_MS = 500, /* between two probes of an unlisted head */
 	FORM_PATIENCE_MS =
 		30000 /* a group that is not ready by then is given up: a load takes 16 s */
--- a/packages/decide/src/formation_watch.c
+++ b/packages/decide/src/formation_watch.c
@@ -128,7 +128,10 @@
 bool
 cs_band_is_checked (const cs_form_view_t *v, const cs_band_t *b)
 {
-	return b->closed_since_ms && v->now_ms - b->checked_ms < CHECKED_MS &&
+	if (!b->closed_since_ms || v->now_ms - b->checked_ms >= CHECKED_MS)
+		return false;
+	/* An order that was on its way may have been taken, and not have shown yet. */
+	return !cs_band_in_doubt (v->f, v->now_ms, b) ||
 	       b->checked_ms - b->closed_since_ms >= CS_FORMATION_OPENING_MS;
 }
 
--- a/packages/forward/src/sending.c
+++ b/packages/forward/src/sending.c
@@ -9,9 +9,11 @@
 #include "forward.h"
 
 enum {
-	CONNECT_MS = 250,   /* a machine that is up answers within some ms */
-	MIN_FIRST_MS = 150, /* shortest wait for a first sign of an answer: some passes */
-	MIN_GAP_MS = 250,   /* and between events */
+	CONNECT_MS = 250,         /* a machine that is up answers within some ms */
+	MIN_FIRST_MS = 150,       /* shortest wait for a first sign of an answer: some passes */
+	LEAST_FIRST_PERCENT = 80, /* of the latency objective: a second attempt costs a back end
+				   * the whole prompt again, and most are still on time by then */
+	MIN_GAP_MS = 250,         /* and between events */
 	MAX_ANSWER_BYTES = 8 << 20,
 	HEADER_LINE_EXTRA = 64
 };
@@ -38,8 +40,10 @@
 	int64_t most = 2 * (int64_t)c->route->target_ms;
 	if (!may_follow (c))
 		return left;
-	int64_t ms = cs_patience_bound (&c->forward->patience, s->service, MIN_FIRST_MS,
-					most > MIN_FIRST_MS ? most : MIN_FIRST_MS);
+	int64_t least = (int64_t)c->route->target_ms * LEAST_FIRST_PERCENT / 100;
+	least = least > MIN_FIRST_MS ? least : MIN_FIRST_MS;
+	int64_t ms = cs_patience_bound (&c->forward->patience, s->service, least,
+					most > least ? most : least);
 	return ms < left ? ms : left;
 }
 
@@ -203,6 +207,7 @@
 	}
 	if (whole.n) {
 		s->last_us = cs_now_us ();
+		cs_suspects_answered (&c->forward->suspects, s->last_us / 1000, s->target);
 		note_first (s, s->last_us);
 		s->events += c->events.tokens - before;
 		if (!c->has_head)
--- a/packages/forward/src/verdict.c
+++ b/packages/forward/src/verdict.c
@@ -9,6 +9,7 @@
 	STATUS_BAD_GATEWAY = 502,
 	STATUS_UNAVAILABLE = 503,
 	STATUS_TIMEOUT = 504,
+	LIVELY_MS = 300,       /* some events of each of a back end's streams come in that time */
 	REFUSED_RETRY_MS = 300 /* another back end may take it then */
 };
 
@@ -30,6 +31,10 @@
 {
 	cs_forward_t *f = s->call->forward;
 	const cs_backend_t *b = cs_fleet_find (&f->fleet, s->target);
+	/* One slow request at a back end that answers others says nothing of it. */
+	if (a->end == CS_ATTEMPT_SILENT &&
+	    now - cs_suspects_answered_ms (&f->suspects, s->target) < LIVELY_MS)
+		return;
 	bool first = cs_suspects_failed (&f->suspects, now, s->target, s->life);
 	if (first && a->end != CS_ATTEMPT_ANSWERED && b && b->epoch == s->life)
 		cs_notes_silent (f, b);
