--- a/packages/ctl/src/diff.c
+++ b/packages/ctl/src/diff.c
@@ -19,8 +19,7 @@
 	const char *key;
 	json_t *v;
 	bool differs = false;
-	json_object_foreach (new, key, v)
-	{
+	json_object_foreach (new, key, v) {
 		const json_t *was = json_object_get (old, key);
 		if (json_equal (was, v))
 			continue;
--- a/packages/ctl/src/files.c
+++ b/packages/ctl/src/files.c
@@ -75,8 +75,7 @@
 {
 	size_t i;
 	json_t *item;
-	json_array_foreach (items, i, item)
-	{
+	json_array_foreach (items, i, item) {
 		const char *k = json_string_value (json_object_get (item, "kind"));
 		const char *n = json_string_value (json_object_get (item, "name"));
 		if (k && n && !strcmp (k, kind) && !strcmp (n, name))
--- a/packages/ctl/src/get.c
+++ b/packages/ctl/src/get.c
@@ -8,8 +8,7 @@
 	size_t i;
 	json_t *item;
 	fprintf (out, "%-12s %-32s %s\n", "KIND", "NAME", "VERSION");
-	json_array_foreach (items, i, item)
-	{
+	json_array_foreach (items, i, item) {
 		char kind[32];
 		char name[32];
 		char version[32];
--- a/packages/ctl/src/print.c
+++ b/packages/ctl/src/print.c
@@ -32,8 +32,7 @@
 {
 	size_t i;
 	json_t *f;
-	json_array_foreach (findings, i, f)
-	{
+	json_array_foreach (findings, i, f) {
 		char line[32];
 		char column[32];
 		char rest[32];
--- a/packages/ctl/src/status.c
+++ b/packages/ctl/src/status.c
@@ -8,8 +8,7 @@
 	size_t i;
 	json_t *d;
 	fprintf (out, "%-16s %-12s %-28s %s\n", "DAEMON", "ZONE", "URL", "STATE");
-	json_array_foreach (list, i, d)
-	{
+	json_array_foreach (list, i, d) {
 		char name[32];
 		char zone[32];
 		char url[32];
@@ -28,8 +27,7 @@
 {
 	size_t i;
 	json_t *m;
-	json_array_foreach (members, i, m)
-	{
+	json_array_foreach (members, i, m) {
 		char vm[32];
 		char state[32];
 		fprintf (out, "    %s %s\n", text_of (m, "vm", vm), text_of (m, "state", state));
@@ -42,8 +40,7 @@
 	size_t i;
 	json_t *g;
 	fprintf (out, "\n%-32s %-12s %-8s %s\n", "GROUP", "STATE", "FENCE", "REASON");
-	json_array_foreach (groups, i, g)
-	{
+	json_array_foreach (groups, i, g) {
 		char name[32];
 		char state[32];
 		char fence[32];
@@ -73,8 +70,7 @@
 {
 	size_t i;
 	json_t *d;
-	json_array_foreach (doubts, i, d)
-	{
+	json_array_foreach (doubts, i, d) {
 		fputs ("change in doubt: ", out);
 		json_dumpf (d, out, JSON_COMPACT | JSON_ENCODE_ANY);
 		fputc ('\n', out);
--- a/packages/daemon/src/serve.c
+++ b/packages/daemon/src/serve.c
@@ -273,8 +273,7 @@
 	attempt_superseded (c, cs_now_ms ());
 	attempt_crashes (c);
 	serve_due (c, now);
-	HASH_ITER (hh, c->queues, q, next)
-	{
+	HASH_ITER (hh, c->queues, q, next) {
 		refuse_expired (c, q);
 		queue_pump (c, q);
 	}
@@ -285,8 +284,7 @@
 {
 	job_t *j = NULL;
 	job_t *next = NULL;
-	HASH_ITER (hh, c->jobs, j, next)
-	{
+	HASH_ITER (hh, c->jobs, j, next) {
 		if (j->is_protected)
 			job_refuse (c, j, 503, "outcome-unknown", CS_MAY_HAVE_RUN, BROKEN_RETRY_MS,
 				    "this daemon lost its membership while it ran the request");
@@ -300,12 +298,10 @@
 	job_t *next = NULL;
 	queue_t *q = NULL;
 	queue_t *next_q = NULL;
-	HASH_ITER (hh, c->jobs, j, next)
-	{
+	HASH_ITER (hh, c->jobs, j, next) {
 		job_free (c, j);
 	}
-	HASH_ITER (hh, c->queues, q, next_q)
-	{
+	HASH_ITER (hh, c->queues, q, next_q) {
 		HASH_DEL (c->queues, q);
 		cs_admission_finish (&q->admission);
 		free (q->service);
--- a/packages/decide/src/admission.c
+++ b/packages/decide/src/admission.c
@@ -56,8 +56,7 @@
 {
 	cs_queued_t *q = NULL;
 	cs_queued_t *next = NULL;
-	HASH_ITER (hh, a->by_id, q, next)
-	{
+	HASH_ITER (hh, a->by_id, q, next) {
 		drop (a, q);
 	}
 	free (a->refusals);
@@ -222,8 +221,7 @@
 	cs_queued_t *q = NULL;
 	cs_queued_t *next = NULL;
 	measure (a, now_ms);
-	HASH_ITER (hh, a->by_id, q, next)
-	{
+	HASH_ITER (hh, a->by_id, q, next) {
 		if (now_ms >= q->until_ms)
 			refuse (a, q);
 	}
--- a/packages/decide/src/claim_home.c
+++ b/packages/decide/src/claim_home.c
@@ -34,8 +34,7 @@
 cs_claim_home_finish (cs_claim_home_t *h)
 {
 	cs_claim_asker_t *a, *next;
-	HASH_ITER (hh, h->askers, a, next)
-	{
+	HASH_ITER (hh, h->askers, a, next) {
 		drop (h, a);
 	}
 }
@@ -127,8 +126,7 @@
 cs_claim_home_tick (cs_claim_home_t *h, int64_t now_ms)
 {
 	cs_claim_asker_t *a, *next;
-	HASH_ITER (hh, h->askers, a, next)
-	{
+	HASH_ITER (hh, h->askers, a, next) {
 		if (now_ms >= a->until_ms)
 			drop (h, a);
 	}
--- a/packages/decide/src/claimant.c
+++ b/packages/decide/src/claimant.c
@@ -57,8 +57,7 @@
 cs_claimant_finish (cs_claimant_t *c)
 {
 	cs_submission_t *s, *next;
-	HASH_ITER (hh, c->by_id, s, next)
-	{
+	HASH_ITER (hh, c->by_id, s, next) {
 		cs_claimant_drop (c, s);
 	}
 	for (cs_claim_action_t *a = cs_claimant_take (c); a; a = cs_claimant_take (c))
@@ -300,8 +299,7 @@
 {
 	cs_submission_t *s, *next;
 	cs_claimant_see_generation (c, now_ms, shard, fold);
-	HASH_ITER (hh, c->by_id, s, next)
-	{
+	HASH_ITER (hh, c->by_id, s, next) {
 		if (s->shard == shard)
 			cs_claimant_step (c, now_ms, s, fold);
 	}
@@ -383,8 +381,7 @@
 cs_claimant_tick (cs_claimant_t *c, int64_t now_ms, const cs_claim_fold_t *folds, size_t n_folds)
 {
 	cs_submission_t *s, *next;
-	HASH_ITER (hh, c->by_id, s, next)
-	{
+	HASH_ITER (hh, c->by_id, s, next) {
 		if (s->shard < n_folds)
 			cs_claimant_step (c, now_ms, s, &folds[s->shard]);
 	}
--- a/packages/decide/src/claims.c
+++ b/packages/decide/src/claims.c
@@ -77,8 +77,7 @@
 cs_claims_clear (cs_claims_t *c)
 {
 	cs_claim_t *claim, *next;
-	HASH_ITER (hh, c->by_key, claim, next)
-	{
+	HASH_ITER (hh, c->by_key, claim, next) {
 		cs_claims_drop (c, claim);
 	}
 	cs_claims_clear_segments (c);
--- a/packages/decide/src/claims_save.c
+++ b/packages/decide/src/claims_save.c
@@ -20,8 +20,7 @@
 	cs_claim_t **order = cs_alloc (n * sizeof (cs_claim_t *));
 	size_t at = 0;
 	const cs_answer_t *a;
-	DL_FOREACH (c->answers, a)
-	{
+	DL_FOREACH (c->answers, a) {
 		order[at++] = a->claim;
 	}
 	size_t answers = at;
--- a/packages/decide/src/claims_segments.c
+++ b/packages/decide/src/claims_segments.c
@@ -133,8 +133,7 @@
 	Cs__ClaimAnswer *answers = cs_alloc (n * sizeof *answers);
 	m.generation = c->generation;
 	m.answers = cs_alloc (n * sizeof *m.answers);
-	DL_FOREACH (c->answers, a)
-	{
+	DL_FOREACH (c->answers, a) {
 		fill_answer (a, &answers[m.n_answers]);
 		m.answers[m.n_answers] = &answers[m.n_answers];
 		m.n_answers++;
@@ -327,8 +326,7 @@
 collect_live (cs_claims_t *c, leaving_t *l)
 {
 	cs_claim_t *claim, *next;
-	HASH_ITER (hh, c->by_key, claim, next)
-	{
+	HASH_ITER (hh, c->by_key, claim, next) {
 		if (!cs_claims_has_left (c, claim->generation))
 			continue;
 		leave (l, claim->key.bytes, claim->state);
--- a/packages/decide/src/evidence.c
+++ b/packages/decide/src/evidence.c
@@ -38,8 +38,7 @@
 cs_evidence_finish (cs_evidence_t *e)
 {
 	cs_evidence_vm_t *x, *next;
-	HASH_ITER (hh, e->vms, x, next)
-	{
+	HASH_ITER (hh, e->vms, x, next) {
 		drop (e, x);
 	}
 	cs_evidence_forget_sources (e);
--- a/packages/decide/src/evidence_delta.c
+++ b/packages/decide/src/evidence_delta.c
@@ -225,8 +225,7 @@
 cs_evidence_forget_sources (cs_evidence_t *e)
 {
 	cs_evidence_source_t *s, *next;
-	HASH_ITER (hh, e->sources, s, next)
-	{
+	HASH_ITER (hh, e->sources, s, next) {
 		drop_source (e, s);
 	}
 }
--- a/packages/decide/src/fleet.c
+++ b/packages/decide/src/fleet.c
@@ -117,8 +117,7 @@
 	bool changed = false;
 	if (f->away)
 		return false;
-	HASH_ITER (hh, f->entries, e, next)
-	{
+	HASH_ITER (hh, f->entries, e, next) {
 		if (!e->lapsed_ms || now_ms - f->back_ms < CS_FLEET_LAPSE_GRACE_MS)
 			continue;
 		discard (f, e);
@@ -235,7 +234,7 @@
 	cs_fleet_entry_t *e, *next;
 	cs_fleet_group_t *g, *next_g;
 	HASH_ITER (hh, f->entries, e, next)
-	discard (f, e);
+		discard (f, e);
 	HASH_ITER (hh, f->groups, g, next_g)
-	forget_group (f, g);
+		forget_group (f, g);
 }
--- a/packages/decide/src/fold_segments.c
+++ b/packages/decide/src/fold_segments.c
@@ -39,8 +39,7 @@
 cs_fold_expire_segments (cs_fold_t *f)
 {
 	cs_fold_segment_t *s, *next;
-	HASH_ITER (hh, f->segments, s, next)
-	{
+	HASH_ITER (hh, f->segments, s, next) {
 		if (s->at < f->begin)
 			drop (f, s);
 	}
@@ -85,8 +84,7 @@
 cs_fold_drop_segment_bytes (cs_fold_t *f)
 {
 	cs_fold_segment_t *s, *next;
-	HASH_ITER (hh, f->segments, s, next)
-	{
+	HASH_ITER (hh, f->segments, s, next) {
 		cs_buf_finish (&s->bytes);
 		/* One given by a peer may not be in the log. */
 		if (!s->at)
--- a/packages/decide/src/formation.c
+++ b/packages/decide/src/formation.c
@@ -57,20 +57,17 @@
 	cs_assignment_t *a, *next_a;
 	cs_band_t *b, *next_b;
 	cs_staging_t *s, *next_s;
-	HASH_ITER (hh, f->assignments, a, next_a)
-	{
+	HASH_ITER (hh, f->assignments, a, next_a) {
 		HASH_DEL (f->assignments, a);
 		free (a->id);
 		free (a->address);
 		free (a);
 	}
-	HASH_ITER (hh, f->bands, b, next_b)
-	{
+	HASH_ITER (hh, f->bands, b, next_b) {
 		HASH_DEL (f->bands, b);
 		cs_band_free (b);
 	}
-	HASH_ITER (hh, f->staging, s, next_s)
-	{
+	HASH_ITER (hh, f->staging, s, next_s) {
 		HASH_DEL (f->staging, s);
 		free (s->id);
 		free (s->model);
--- a/packages/decide/src/formation_gather.c
+++ b/packages/decide/src/formation_gather.c
@@ -40,7 +40,7 @@
 	double n = 0;
 	cs_band_t *b, *next;
 	HASH_ITER (hh, v->f->bands, b, next)
-	n += is_of (v, b, p, model, zone);
+		n += is_of (v, b, p, model, zone);
 	for (size_t i = 0; i < v->f->n_proposed; i++)
 		n += is_of (v, v->f->proposed[i], p, model, zone);
 	return n;
@@ -141,8 +141,7 @@
 	       const char *zone)
 {
 	cs_band_t *b, *next;
-	HASH_ITER (hh, v->f->bands, b, next)
-	{
+	HASH_ITER (hh, v->f->bands, b, next) {
 		if (!b->lost || b->released || b->quiet ||
 		    strcmp (b->service, p->service->name) != 0 || strcmp (b->model, m->name) != 0)
 			continue;
--- a/packages/decide/src/formation_tend.c
+++ b/packages/decide/src/formation_tend.c
@@ -22,8 +22,7 @@
 may_join (const cs_form_view_t *v, const cs_band_t *band, const char *id)
 {
 	cs_band_t *b, *next;
-	HASH_ITER (hh, v->f->bands, b, next)
-	{
+	HASH_ITER (hh, v->f->bands, b, next) {
 		if (b->epoch >= band->epoch || b->released || !(b->opened || b->inherited))
 			continue;
 		for (size_t i = 0; i < b->n; i++)
@@ -55,9 +54,9 @@
 {
 	cs_band_t *b, *next;
 	HASH_ITER (hh, v->f->bands, b, next)
-	if (b->epoch < band->epoch && !b->released && (b->opened || b->inherited) &&
-	    !strcmp (b->members[0], id))
-		return b;
+		if (b->epoch < band->epoch && !b->released && (b->opened || b->inherited) &&
+		    !strcmp (b->members[0], id))
+			return b;
 	return NULL;
 }
 
@@ -231,8 +230,7 @@
 cs_formation_tend (cs_form_view_t *v)
 {
 	cs_band_t *b, *next;
-	HASH_ITER (hh, v->f->bands, b, next)
-	{
+	HASH_ITER (hh, v->f->bands, b, next) {
 		const cs_serving_service_t *service = cs_serving_service (v->serving, b->service);
 		if (!service)
 			continue;
--- a/packages/decide/src/formation_watch.c
+++ b/packages/decide/src/formation_watch.c
@@ -239,8 +239,7 @@
 			adopt (v, m);
 		cs_formation_note_address (v->f, m);
 	}
-	HASH_ITER (hh, v->f->bands, b, next)
-	{
+	HASH_ITER (hh, v->f->bands, b, next) {
 		watch_band (v, b);
 		v->loading += count_loading (v, b);
 		if (!is_superseded (v, b))
--- a/packages/decide/src/groups.c
+++ b/packages/decide/src/groups.c
@@ -39,12 +39,10 @@
 {
 	cs_group_t *group, *next_group;
 	cs_vm_t *vm, *next_vm;
-	HASH_ITER (hh, g->groups, group, next_group)
-	{
+	HASH_ITER (hh, g->groups, group, next_group) {
 		cs_groups_drop_group (g, group);
 	}
-	HASH_ITER (hh, g->vms, vm, next_vm)
-	{
+	HASH_ITER (hh, g->vms, vm, next_vm) {
 		cs_groups_drop_vm (g, vm);
 	}
 }
--- a/packages/decide/src/limits.c
+++ b/packages/decide/src/limits.c
@@ -40,12 +40,10 @@
 {
 	cs_team_limit_t *t, *next;
 	cs_limits_peer_t *p, *next_peer;
-	HASH_ITER (hh, l->teams, t, next)
-	{
+	HASH_ITER (hh, l->teams, t, next) {
 		drop_team (l, t);
 	}
-	HASH_ITER (hh, l->peers, p, next_peer)
-	{
+	HASH_ITER (hh, l->peers, p, next_peer) {
 		cs_limits_drop_peer (l, p);
 	}
 }
--- a/packages/decide/src/limits_ledger.c
+++ b/packages/decide/src/limits_ledger.c
@@ -27,8 +27,7 @@
 cs_limits_drop_accounts (cs_team_limit_t *t)
 {
 	cs_account_t *a, *next;
-	HASH_ITER (hh, t->accounts, a, next)
-	{
+	HASH_ITER (hh, t->accounts, a, next) {
 		HASH_DEL (t->accounts, a);
 		free (a);
 	}
@@ -232,8 +231,7 @@
 		p->joined = false;
 	for (size_t i = 0; i < n; i++)
 		set_joined (l, incarnations[i]);
-	HASH_ITER (hh, l->peers, p, next)
-	{
+	HASH_ITER (hh, l->peers, p, next) {
 		left |= !p->joined;
 		if (!p->joined)
 			cs_limits_drop_peer (l, p);
--- a/packages/decide/src/limits_promise.c
+++ b/packages/decide/src/limits_promise.c
@@ -31,8 +31,7 @@
 cs_promises_finish (cs_promises_t *p)
 {
 	cs_ticket_t *ticket, *next;
-	HASH_ITER (hh, p->tickets, ticket, next)
-	{
+	HASH_ITER (hh, p->tickets, ticket, next) {
 		drop (p, ticket);
 	}
 	*p = (cs_promises_t){0};
@@ -54,8 +53,7 @@
 		p->open -= p->waits[p->second % CS_LIMITS_PROMISES_S];
 		p->waits[p->second % CS_LIMITS_PROMISES_S] = 0;
 	}
-	HASH_ITER (hh, p->tickets, ticket, next)
-	{
+	HASH_ITER (hh, p->tickets, ticket, next) {
 		if (ticket->second + GRACE_S < second)
 			drop (p, ticket);
 	}
--- a/packages/decide/src/offers.c
+++ b/packages/decide/src/offers.c
@@ -175,13 +175,11 @@
 {
 	cs_offer_t *offer = NULL;
 	cs_offer_t *next = NULL;
-	HASH_ITER (hh, o->lapsed, offer, next)
-	{
+	HASH_ITER (hh, o->lapsed, offer, next) {
 		if (now_ms - offer->at_ms > CS_OFFER_KEPT_MS)
 			drop (&o->lapsed, offer);
 	}
-	HASH_ITER (hh, o->fresh, offer, next)
-	{
+	HASH_ITER (hh, o->fresh, offer, next) {
 		if (!cs_offer_fresh (offer, now_ms))
 			lapse (o, offer);
 	}
--- a/packages/decide/src/patience.c
+++ b/packages/decide/src/patience.c
@@ -26,8 +26,7 @@
 cs_patience_finish (cs_patience_t *p)
 {
 	cs_patience_entry_t *e, *next;
-	HASH_ITER (hh, p->entries, e, next)
-	{
+	HASH_ITER (hh, p->entries, e, next) {
 		HASH_DEL (p->entries, e);
 		free (e->key);
 		free (e);
--- a/packages/decide/src/plan_memory.c
+++ b/packages/decide/src/plan_memory.c
@@ -85,15 +85,13 @@
 {
 	cs_planner_wish_t *wish, *next_wish;
 	cs_planner_fence_t *fence, *next_fence;
-	HASH_ITER (hh, w->p->wishes, wish, next_wish)
-	{
+	HASH_ITER (hh, w->p->wishes, wish, next_wish) {
 		if (wish->run == w->p->run)
 			continue;
 		HASH_DEL (w->p->wishes, wish);
 		free (wish);
 	}
-	HASH_ITER (hh, w->p->fences, fence, next_fence)
-	{
+	HASH_ITER (hh, w->p->fences, fence, next_fence) {
 		if (fence->run == w->p->run)
 			continue;
 		HASH_DEL (w->p->fences, fence);
--- a/packages/decide/src/planner.c
+++ b/packages/decide/src/planner.c
@@ -49,13 +49,11 @@
 {
 	cs_planner_wish_t *wish, *next_wish;
 	cs_planner_fence_t *fence, *next_fence;
-	HASH_ITER (hh, p->wishes, wish, next_wish)
-	{
+	HASH_ITER (hh, p->wishes, wish, next_wish) {
 		HASH_DEL (p->wishes, wish);
 		free (wish);
 	}
-	HASH_ITER (hh, p->fences, fence, next_fence)
-	{
+	HASH_ITER (hh, p->fences, fence, next_fence) {
 		HASH_DEL (p->fences, fence);
 		free (fence);
 	}
--- a/packages/decide/src/poison.c
+++ b/packages/decide/src/poison.c
@@ -65,8 +65,7 @@
 drop_suspects (cs_poison_t *p, const cs_crash_t *crash)
 {
 	cs_print_t *print, *next;
-	HASH_ITER (hh, p->prints, print, next)
-	{
+	HASH_ITER (hh, p->prints, print, next) {
 		if (!print->refused && is_of (print, crash->group, crash->fence))
 			cs_poison_drop (p, print);
 	}
@@ -100,8 +99,7 @@
 find_crash (const cs_poison_t *p, const char *group, uint64_t fence)
 {
 	cs_crash_t *crash;
-	DL_FOREACH (p->crashes, crash)
-	{
+	DL_FOREACH (p->crashes, crash) {
 		if (crash->fence == fence && !strcmp (crash->group, group))
 			return crash;
 	}
@@ -112,8 +110,7 @@
 cs_poison_clear_fold (cs_poison_t *p)
 {
 	cs_print_t *print, *next;
-	HASH_ITER (hh, p->prints, print, next)
-	{
+	HASH_ITER (hh, p->prints, print, next) {
 		cs_poison_drop (p, print);
 	}
 	while (p->crashes)
@@ -220,8 +217,7 @@
 {
 	uint32_t n = 0;
 	const cs_broken_t *b;
-	DL_FOREACH (p->broken, b)
-	{
+	DL_FOREACH (p->broken, b) {
 		if ((confirmed && !b->dead_ms) || (print && is_of (print, b->group, b->fence)))
 			continue;
 		for (uint32_t i = 0; i < b->n_prints; i++)
--- a/packages/decide/src/poison_evidence.c
+++ b/packages/decide/src/poison_evidence.c
@@ -46,8 +46,7 @@
 cs_poison_clear_evidence (cs_poison_t *p)
 {
 	cs_running_t *r, *next;
-	HASH_ITER (hh, p->running, r, next)
-	{
+	HASH_ITER (hh, p->running, r, next) {
 		drop_running (p, r);
 	}
 	while (p->broken)
@@ -109,8 +108,7 @@
 find_broken (cs_poison_t *p, int64_t now_ms, const char *group, uint64_t fence)
 {
 	cs_broken_t *b;
-	DL_FOREACH (p->broken, b)
-	{
+	DL_FOREACH (p->broken, b) {
 		if (b->fence == fence && !strcmp (b->group, group))
 			return b;
 	}
@@ -215,8 +213,7 @@
 drop_old_hints (cs_poison_t *p, int64_t now_ms)
 {
 	cs_print_t *print, *next;
-	HASH_ITER (hh, p->prints, print, next)
-	{
+	HASH_ITER (hh, p->prints, print, next) {
 		if (print->until_ms && now_ms >= print->until_ms)
 			cs_poison_drop (p, print);
 	}
@@ -242,8 +239,7 @@
 {
 	size_t n = 0;
 	const cs_broken_t *b;
-	DL_FOREACH (p->broken, b)
-	{
+	DL_FOREACH (p->broken, b) {
 		for (uint32_t i = 0; i < b->n_prints && b->dead_ms && n < max; i++) {
 			const cs_print_t *print = cs_poison_find (p, b->prints[i]);
 			if (!print || print->until_ms)
--- a/packages/decide/src/poison_place.c
+++ b/packages/decide/src/poison_place.c
@@ -33,8 +33,7 @@
 {
 	cs_seen_t *g = NULL;
 	cs_seen_t *next = NULL;
-	HASH_ITER (hh, p->seen, g, next)
-	{
+	HASH_ITER (hh, p->seen, g, next) {
 		drop_seen (p, g);
 	}
 }
@@ -56,8 +55,7 @@
 		}
 		g->at_ms = now_ms;
 	}
-	HASH_ITER (hh, p->seen, g, next)
-	{
+	HASH_ITER (hh, p->seen, g, next) {
 		if (now_ms - g->at_ms > CS_POISON_EVIDENCE_MS)
 			drop_seen (p, g);
 	}
@@ -165,8 +163,7 @@
 {
 	uint32_t n = print && !print->until_ms && !print->cleared;
 	const cs_broken_t *b;
-	DL_FOREACH (p->broken, b)
-	{
+	DL_FOREACH (p->broken, b) {
 		if (print && print->fence == b->fence && !strcmp (print->group, b->group))
 			continue;
 		for (uint32_t i = 0; i < b->n_prints; i++)
--- a/packages/decide/src/poison_save.c
+++ b/packages/decide/src/poison_save.c
@@ -71,8 +71,7 @@
 	m.crashes = cs_alloc (p->n_crashes * sizeof (Cs__CrashEntry *));
 	m.prints = cs_alloc (n * sizeof (Cs__PrintEntry *));
 	const cs_crash_t *crash;
-	DL_FOREACH (p->crashes, crash)
-	{
+	DL_FOREACH (p->crashes, crash) {
 		m.crashes[m.n_crashes++] = crash_entry (crash);
 	}
 	for (size_t i = 0; i < n; i++)
--- a/packages/decide/src/serving.c
+++ b/packages/decide/src/serving.c
@@ -42,8 +42,7 @@
 	for (size_t i = 0; i < s->n_teams; i++)
 		free (s->teams[i].name);
 	free (s->teams);
-	HASH_ITER (hh, s->keys, k, next)
-	{
+	HASH_ITER (hh, s->keys, k, next) {
 		HASH_DEL (s->keys, k);
 		free (k->key);
 		free (k);
--- a/packages/decide/src/suspects.c
+++ b/packages/decide/src/suspects.c
@@ -28,7 +28,7 @@
 {
 	cs_suspect_t *e, *next;
 	HASH_ITER (hh, s->entries, e, next)
-	discard (s, e);
+		discard (s, e);
 }
 
 static cs_suspect_t *
@@ -107,7 +107,7 @@
 {
 	cs_suspect_t *e, *next;
 	HASH_ITER (hh, s->entries, e, next)
-	if (now_ms - e->until_ms > CS_SUSPECT_FORGET_MS &&
-	    now_ms - e->answered_ms > CS_SUSPECT_FORGET_MS)
-		discard (s, e);
+		if (now_ms - e->until_ms > CS_SUSPECT_FORGET_MS &&
+		    now_ms - e->answered_ms > CS_SUSPECT_FORGET_MS)
+			discard (s, e);
 }
--- a/packages/engine/src/known.c
+++ b/packages/engine/src/known.c
@@ -23,8 +23,7 @@
 {
 	cs_known_t *k = NULL;
 	cs_known_t *next = NULL;
-	HASH_ITER (hh, *table, k, next)
-	{
+	HASH_ITER (hh, *table, k, next) {
 		if (!k->busy && now_ms - k->used_ms > KNOWN_MS)
 			drop (table, k);
 	}
@@ -63,8 +62,7 @@
 {
 	cs_known_t *k = NULL;
 	cs_known_t *next = NULL;
-	HASH_ITER (hh, *table, k, next)
-	{
+	HASH_ITER (hh, *table, k, next) {
 		drop (table, k);
 	}
 }
--- a/packages/forward/src/queue.c
+++ b/packages/forward/src/queue.c
@@ -148,8 +148,7 @@
 {
 	cs_line_t *l, *next;
 	ev_timer_stop (f->task->kernel->loop, &f->poll);
-	HASH_ITER (hh, f->lines, l, next)
-	{
+	HASH_ITER (hh, f->lines, l, next) {
 		HASH_DEL (f->lines, l);
 		cs_admission_finish (&l->admission);
 		free (l->service);
--- a/packages/host/include/cs/host.h
+++ b/packages/host/include/cs/host.h
@@ -70,6 +70,7 @@
 	char *listen_callers;  /* IP:PORT */
 	char *listen_ready;    /* IP:PORT of readiness and metrics */
 	char *listen_metrics;  /* IP:PORT */
+	char *listen_internal; /* IP:PORT for other daemons */
 	char *store_address;   /* IP:PORT of the metadata store */
 	uint32_t heartbeat_ms; /* of back ends in the list */
 	uint32_t grace_ms;     /* from SIGTERM to SIGKILL */
--- a/packages/http/tests/test_sse.c
+++ b/packages/http/tests/test_sse.c
@@ -3,8 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "cs_test.h"
 #include "cs/sse.h"
+#include "cs_test.h"
 
 static const struct {
 	const char *stream;
--- a/packages/peer/tests/test_keys.c
+++ b/packages/peer/tests/test_keys.c
@@ -56,7 +56,8 @@
 	d->heard++;
 }
 
-static cs_plugin_t fake = {"control", 1, fake_init, NULL, control_receive, fake_finish, CS_PROFILE_OWN, NULL};
+static cs_plugin_t fake = {"control",       1,           fake_init,      NULL,
+			   control_receive, fake_finish, CS_PROFILE_OWN, NULL};
 
 static cs_peer_key_t *
 pair (const char *name)
--- a/packages/toml/tests/test_resources.c
+++ b/packages/toml/tests/test_resources.c
@@ -272,8 +272,7 @@
 		const char *key;
 		json_t *v;
 		size_t compared = 0;
-		json_object_foreach (json_object_get (j, "spec"), key, v)
-		{
+		json_object_foreach (json_object_get (j, "spec"), key, v) {
 			char value[32];
 			if (!write_value (v, value, sizeof value) ||
 			    page_says (table, key, "required"))
--- a/standins/backend/complete.c
+++ b/standins/backend/complete.c
@@ -50,8 +50,7 @@
 	size_t i;
 	json_t *m;
 	const char *last = "";
-	json_array_foreach (json_object_get (body, "messages"), i, m)
-	{
+	json_array_foreach (json_object_get (body, "messages"), i, m) {
 		const char *role = json_string_value (json_object_get (m, "role"));
 		const char *text = json_string_value (json_object_get (m, "content"));
 		if (role && text && !strcmp (role, "user"))
--- a/standins/platform/log.c
+++ b/standins/platform/log.c
@@ -131,8 +131,7 @@
 	ssize_t total = 0;
 	if (!json_is_array (records) || !json_array_size (records))
 		return -1;
-	json_array_foreach (records, i, record)
-	{
+	json_array_foreach (records, i, record) {
 		const char *value = json_string_value (json_object_get (record, "value"));
 		ssize_t n = value ? decoded_bytes (value) : -1;
 		if (n < 0)
@@ -149,8 +148,7 @@
 	json_t *record;
 	json_t *offsets = json_array ();
 	stream_t *s = stream_get (name);
-	json_array_foreach (records, i, record)
-	{
+	json_array_foreach (records, i, record) {
 		uint64_t o = stream_add (s, json_string_value (json_object_get (record, "value")));
 		json_array_append_new (
 			offsets, json_pack ("{s:i, s:I}", "partition", 0, "offset", (json_int_t)o));
--- a/standins/tests/test_cache.c
+++ b/standins/tests/test_cache.c
@@ -53,8 +53,7 @@
 		json_t *j = cache_events (epoch - cases[i].other_epoch, cases[i].after);
 		size_t k;
 		json_t *e;
-		json_array_foreach (json_object_get (j, "events"), k, e)
-		{
+		json_array_foreach (json_object_get (j, "events"), k, e) {
 			const char *stored = json_string_value (json_object_get (e, "stored"));
 			const char *text =
 				stored ? stored
