--- a/packages/forward/src/admit.c
+++ b/packages/forward/src/admit.c
@@ -12,6 +12,7 @@
 	STATUS_TOO_LARGE = 413,
 	STATUS_UNAVAILABLE = 503,
 	UNSTATED_DEADLINE_MS = 30000, /* of a caller that says nothing */
+	STOPPING_RETRY_MS = 50,       /* another daemon takes it at once */
 	NO_CONFIG_RETRY_MS = 500      /* a daemon reads the store within that once it is up */
 };
 
@@ -59,6 +60,11 @@
 cs_admit (cs_call_t *c)
 {
 	cs_forward_t *f = c->forward;
+	if (cs_stop_phase (f->stopping_ms, c->received_ms, f->host->grace_ms, 1) >=
+	    CS_STOP_REFUSES) {
+		refuse (c, STATUS_UNAVAILABLE, "stopping", STOPPING_RETRY_MS);
+		return;
+	}
 	if (!f->serving || !f->listed) {
 		refuse (c, STATUS_UNAVAILABLE, "no-configuration", NO_CONFIG_RETRY_MS);
 		return;
--- a/packages/forward/src/forward.c
+++ b/packages/forward/src/forward.c
@@ -19,27 +19,19 @@
 };
 
 static void
-end_stop (cs_forward_t *f, const char *how)
+watch_stop (cs_forward_t *f)
 {
-	if (f->stopped)
+	size_t in_progress = f->callers.in_progress;
+	cs_stop_t phase =
+		cs_stop_phase (f->stopping_ms, cs_now_ms (), f->host->grace_ms, in_progress);
+	if (phase != CS_STOP_OVER || f->stopped)
 		return;
 	f->stopped = true;
-	cs_log_event ("daemon", "stopped", "how=%s in_progress=%zu", how, f->callers.in_progress);
+	cs_log_event ("daemon", "stopped", "in_progress=%zu after_ms=%lld", in_progress,
+		      (long long)(cs_now_ms () - f->stopping_ms));
 	cs_kernel_stop (f->task->kernel);
 }
 
-static void
-watch_stop (cs_forward_t *f)
-{
-	int64_t ms = cs_now_ms () - f->stopping_ms;
-	if (!f->stopping_ms || ms < BALANCER_MS)
-		return;
-	if (!f->callers.in_progress)
-		end_stop (f, "all requests ended");
-	else if (ms > (int64_t)f->host->grace_ms - STOP_MARGIN_MS)
-		end_stop (f, "the grace period is over");
-}
-
 static void
 on_tick (struct ev_loop *loop, ev_timer *w, int events)
 {
--- a/packages/forward/src/forward.h
+++ b/packages/forward/src/forward.h
@@ -18,6 +18,7 @@
 #include "cs/router.h"
 #include "cs/serving.h"
 #include "cs/sse.h"
+#include "cs/stop.h"
 #include "cs/suspects.h"
 
 typedef struct cs_call cs_call_t;
