--- a/packages/decide/src/formation_gather.c
+++ b/packages/decide/src/formation_gather.c
@@ -9,7 +9,7 @@
 enum {
 	LEARN_MS = 500,       /* a planner that begins reads reports for so long first */
 	SETTLED_MS = 700,     /* a first start waits until no back end was added for so long, */
-	MAX_SETTLE_MS = 5000, /* and no longer than that */
+	MAX_SETTLE_MS = 3500, /* and no longer than that */
 	FILLING_MS = 1500,    /* a heartbeat and the list's lag */
 	BETTER_MS = 2000      /* a group that is forming is given up for one that much sooner */
 };
--- a/packages/former/src/former.c
+++ b/packages/former/src/former.c
@@ -9,8 +9,8 @@
 #include "cs/record.pb-c.h"
 
 enum {
-	TICK_MS = 200,        /* between two plans */
-	FIRST_LOADS_MS = 7000 /* of a first start: callers come some 10 s after the machines */
+	TICK_MS = 200,         /* between two plans */
+	FIRST_LOADS_MS = 30000 /* longest first start: it ends when callers come */
 };
 
 static void
@@ -204,6 +204,9 @@
 	case CS_HOST_LEDGER:
 		take_ledger (f, (cs_ledger_msg_t *)m);
 		break;
+	case CS_HOST_TRAFFIC:
+		f->eager_until_ms = f->formation.eager_until_ms = 0;
+		break;
 	case CS_HOST_NOTE:
 		take_note (f, (cs_ledger_msg_t *)m);
 		break;
--- a/packages/forward/src/admit.c
+++ b/packages/forward/src/admit.c
@@ -56,10 +56,22 @@
 	cs_reply_own (c, status, reason, retry_after_ms);
 }
 
+/* Loads of weights are not spread over time until callers come. */
+static void
+note_traffic (cs_forward_t *f)
+{
+	if (f->has_traffic)
+		return;
+	f->has_traffic = true;
+	cs_send (f->task, cs_task_find (f->task->kernel, "former"),
+		 &cs_state_msg (CS_HOST_TRAFFIC, true, 0)->msg);
+}
+
 void
 cs_admit (cs_call_t *c)
 {
 	cs_forward_t *f = c->forward;
+	note_traffic (f);
 	if (cs_stop_phase (f->stopping_ms, c->received_ms, f->host->grace_ms, 1) >=
 	    CS_STOP_REFUSES) {
 		refuse (c, STATUS_UNAVAILABLE, "stopping", STOPPING_RETRY_MS);
--- a/packages/forward/src/forward.h
+++ b/packages/forward/src/forward.h
@@ -49,6 +49,7 @@
 	ev_timer tick;
 	int64_t stopping_ms; /* when a planned stop began; 0: none */
 	bool stopped;
+	bool has_traffic; /* a request has come */
 } cs_forward_t;
 
 /* A header line, name and value; both owned. */
--- a/packages/host/include/cs/host_messages.h
+++ b/packages/host/include/cs/host_messages.h
@@ -7,6 +7,7 @@
  *   store  -> former           TURN, LEDGER, PROPOSED
  *   former -> store            PROPOSE
  *   forward, former <-> store  NOTE, through the store to all daemons
+ *   forward -> former          TRAFFIC
  *   main   -> all              STOP */
 #ifndef CS_HOST_MESSAGES_H
 #define CS_HOST_MESSAGES_H
@@ -24,6 +25,7 @@
 	CS_HOST_PROPOSE,
 	CS_HOST_PROPOSED,
 	CS_HOST_NOTE, /* cs_ledger_msg_t: a packed Note; `offset` is its place in the topic */
+	CS_HOST_TRAFFIC, /* a caller's first request has come */
 	CS_HOST_STOP
 } cs_host_msg_kind_t;
 
