--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 DESTDIR ?=
 PREFIX ?= /usr/local
 
-.PHONY: all deps build asan demo check lint format bench install clean wire
+.PHONY: all deps build asan demo check lint format bench install clean wire deploy
 
 all: build
 
@@ -38,6 +38,10 @@
 wire: deps
 	@cd packages/wire && protoc-c --c_out=src -Iproto proto/*.proto && mv src/*.pb-c.h include/cs/ && sed -i 's,#include "\([a-z]*\).pb-c.h",#include "cs/\1.pb-c.h",' src/*.c include/cs/*.pb-c.h
 
+# Builds in a clean copy as deploy/system.toml says, and lists its missing packages.
+deploy: deps
+	@tools/check-deploy.sh
+
 install: build
 	@DESTDIR=$(DESTDIR) cmake --install $(BUILD) --prefix $(PREFIX)
 
--- /dev/null
+++ b/packages/decide/tests/test_formation.c
@@ -0,0 +1,325 @@
+/* What the planner of groups does about single changes. */
+#include "cs_test.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cs/formation.h"
+
+enum {
+	START_MS = 100000,
+	LATER_MS = START_MS + 20000, /* orders of a planner before can't be on their way */
+	SLOTS = 8
+};
+
+/* One back end of domain "d" as the list shows it. */
+typedef struct {
+	const char *id; /* NULL: end of the row */
+	const char *model;
+	const char *staged;
+	const char *group;
+	uint64_t epoch;
+	uint32_t rank;
+	cs_member_state_t state;
+	bool draining;
+} shown_t;
+
+typedef struct {
+	cs_fleet_t fleet;
+	cs_serving_t *serving;
+	cs_formation_t formation;
+} plan_t;
+
+static cs_serving_t *
+make_serving (double big_share)
+{
+	cs_serving_t *s = cs_serving_new ();
+	cs_serving_service_t *v = cs_serving_add_service (s);
+	v->name = cs_str_dup (cs_str ("llm"));
+	v->loads_per_s = 4;
+	v->loads_at_once = 6;
+	for (int i = 0; i < 2; i++) {
+		cs_serving_model_t *m = cs_serving_add_model (v);
+		m->name = cs_str_dup (cs_str (i ? "small" : "big"));
+		m->group_size = i ? 2 : 4;
+		m->share = i ? 1 - big_share : big_share;
+		m->load_ms = i ? 12000 : 16000;
+		m->warm_ms = i ? 1100 : 1600;
+	}
+	return s;
+}
+
+static void
+show (plan_t *p, int64_t now_ms, const shown_t *row)
+{
+	for (; row->id; row++) {
+		cs_backend_t *b = cs_backend_new ();
+		b->id = cs_str_dup (cs_str (row->id));
+		b->service = cs_str_dup (cs_str ("llm"));
+		b->address = cs_str_dup (cs_str (row->id));
+		b->zone = cs_str_dup (cs_str ("z"));
+		b->domain = cs_str_dup (cs_str ("d"));
+		b->model = cs_str_dup (cs_str (row->model ? row->model : ""));
+		b->staged = cs_str_dup (cs_str (row->staged ? row->staged : ""));
+		b->group = cs_str_dup (cs_str (row->group ? row->group : ""));
+		b->epoch = row->epoch;
+		b->rank = row->rank;
+		b->state = row->state;
+		b->draining = row->draining;
+		cs_fleet_set (&p->fleet, now_ms, b);
+	}
+}
+
+static void
+init (plan_t *p, double big_share)
+{
+	cs_fleet_init (&p->fleet);
+	cs_formation_init (&p->formation);
+	p->serving = make_serving (big_share);
+	cs_formation_begin (&p->formation, START_MS, 0);
+	cs_formation_caught_up (&p->formation);
+}
+
+static void
+finish (plan_t *p)
+{
+	cs_formation_finish (&p->formation);
+	cs_fleet_finish (&p->fleet);
+	cs_ref_put (&p->serving->ref);
+}
+
+static void
+plan (plan_t *p, int64_t now_ms)
+{
+	cs_formation_plan (&p->formation, now_ms, &p->fleet, p->serving);
+}
+
+static size_t
+count (const plan_t *p, cs_form_kind_t kind)
+{
+	size_t n = 0;
+	for (size_t i = 0; i < p->formation.n_actions; i++)
+		n += p->formation.actions[i].kind == kind;
+	return n;
+}
+
+/* Members of the proposed groups, as "MODEL:a,b;...". */
+static const char *
+proposed (const plan_t *p)
+{
+	static char text[256];
+	size_t n = 0;
+	text[0] = 0;
+	for (size_t i = 0; i < p->formation.n_proposed; i++) {
+		const cs_band_t *b = p->formation.proposed[i];
+		n += (size_t)snprintf (text + n, sizeof text - n, "%s:", b->model);
+		for (size_t k = 0; k < b->n; k++)
+			n += (size_t)snprintf (text + n, sizeof text - n, "%s%s", b->members[k],
+					       k + 1 < b->n ? "," : ";");
+	}
+	return text;
+}
+
+/* Which groups are formed from back ends that belong to none. */
+static void
+test_choice (void **state)
+{
+	static const struct {
+		const char *name;
+		double big_share;
+		shown_t shown[SLOTS + 1];
+		const char *proposed;
+	} cases[] = {
+		{"survivors and the one that stands by, before one without weights",
+		 1,
+		 {{.id = "a", .model = "big", .staged = "big"},
+		  {.id = "b"},
+		  {.id = "c", .model = "big", .staged = "big"},
+		  {.id = "d", .staged = "big"},
+		  {.id = "e", .model = "big", .staged = "big"}},
+		 "big:a,c,e,d;"},
+		{"the weights at hand decide between models",
+		 0.5,
+		 {{.id = "a", .staged = "small"},
+		  {.id = "b", .staged = "small"},
+		  {.id = "c", .staged = "big"},
+		  {.id = "d", .staged = "small"}},
+		 "small:a,b;"},
+		{"one that leaves is no member",
+		 1,
+		 {{.id = "a", .staged = "big"},
+		  {.id = "b", .staged = "big"},
+		  {.id = "c", .staged = "big"},
+		  {"d", NULL, "big", NULL, 0, 0, CS_MEMBER_NONE, true}},
+		 ""},
+		{"too few", 1, {{.id = "a", .staged = "big"}, {.id = "b", .staged = "big"}}, ""},
+		{"a fifth stands by",
+		 0,
+		 {{.id = "a", .staged = "small"},
+		  {.id = "b", .staged = "small"},
+		  {.id = "c", .staged = "small"}},
+		 "small:a,b;"},
+	};
+	(void)state;
+	for (size_t i = 0; i < CS_COUNT (cases); i++) {
+		plan_t p;
+		init (&p, cases[i].big_share);
+		show (&p, START_MS, cases[i].shown);
+		plan (&p, LATER_MS);
+		if (strcmp (proposed (&p), cases[i].proposed) != 0)
+			fail_msg ("%s: %s", cases[i].name, proposed (&p));
+		finish (&p);
+	}
+}
+
+static const char *const pair[] = {"a", "b"};
+
+/* What is done about one group of two, by what its members show. */
+static void
+test_orders (void **state)
+{
+	static const struct {
+		const char *name;
+		shown_t shown[SLOTS + 1];
+		size_t joins;
+		size_t opens;
+		size_t closes;
+		size_t probes;
+	} cases[] = {
+		{"both free",
+		 {{.id = "a", .staged = "small"}, {.id = "b", .staged = "small"}},
+		 2,
+		 0,
+		 0,
+		 0},
+		{"one is ready",
+		 {{"a", "small", "small", "g", 7, 0, CS_MEMBER_READY, false},
+		  {.id = "b", .staged = "small"}},
+		 1,
+		 0,
+		 0,
+		 0},
+		{"both are ready",
+		 {{"a", "small", "small", "g", 7, 0, CS_MEMBER_READY, false},
+		  {"b", "small", "small", "g", 7, 1, CS_MEMBER_READY, false}},
+		 0,
+		 1,
+		 0,
+		 0},
+		{"open",
+		 {{"a", "small", "small", "g", 7, 0, CS_MEMBER_OPEN, false},
+		  {"b", "small", "small", "g", 7, 1, CS_MEMBER_READY, false}},
+		 0,
+		 0,
+		 0,
+		 0},
+		{"open, and a member drains",
+		 {{"a", "small", "small", "g", 7, 0, CS_MEMBER_OPEN, false},
+		  {"b", "small", "small", "g", 7, 1, CS_MEMBER_READY, true}},
+		 0,
+		 0,
+		 1,
+		 0},
+		{"open, and a member has moved on",
+		 {{"a", "small", "small", "g", 7, 0, CS_MEMBER_OPEN, false},
+		  {"b", "small", "small", "h", 8, 0, CS_MEMBER_JOINING, false}},
+		 0,
+		 0,
+		 1,
+		 0},
+		{"open, and a member is unlisted: it may work on",
+		 {{"a", "small", "small", "g", 7, 0, CS_MEMBER_OPEN, false}},
+		 0,
+		 0,
+		 0,
+		 1},
+	};
+	(void)state;
+	for (size_t i = 0; i < CS_COUNT (cases); i++) {
+		plan_t p;
+		init (&p, 0);
+		cs_formation_fold (&p.formation, START_MS, 7, "g", "llm", "small", pair, 2);
+		show (&p, START_MS, cases[i].shown);
+		plan (&p, LATER_MS);
+		if (count (&p, CS_FORM_JOIN) != cases[i].joins ||
+		    count (&p, CS_FORM_OPEN) != cases[i].opens ||
+		    count (&p, CS_FORM_CLOSE) != cases[i].closes ||
+		    count (&p, CS_FORM_PROBE) != cases[i].probes)
+			fail_msg ("%s: %zu joins, %zu opens, %zu closes, %zu probes", cases[i].name,
+				  count (&p, CS_FORM_JOIN), count (&p, CS_FORM_OPEN),
+				  count (&p, CS_FORM_CLOSE), count (&p, CS_FORM_PROBE));
+		finish (&p);
+	}
+}
+
+/* A planner that takes over sends nothing while the one before may still act. */
+static void
+test_takeover (void **state)
+{
+	static const shown_t shown[] = {
+		{.id = "a", .staged = "small"}, {.id = "b", .staged = "small"}, {NULL}};
+	plan_t p;
+	(void)state;
+	init (&p, 0);
+	cs_formation_fold (&p.formation, START_MS, 7, "g", "llm", "small", pair, 2);
+	show (&p, START_MS, shown);
+	plan (&p, START_MS + CS_FORMATION_TAKEOVER_MS - 1);
+	assert_int_equal (p.formation.n_actions, 0);
+	plan (&p, START_MS + CS_FORMATION_TAKEOVER_MS);
+	assert_int_equal (count (&p, CS_FORM_JOIN), 2);
+	finish (&p);
+}
+
+/* A group that waits for a load is given up when its ready member and another can serve
+ * sooner. */
+static void
+test_better (void **state)
+{
+	static const shown_t slow[] = {{"a", "small", "small", "g", 7, 0, CS_MEMBER_READY, false},
+				       {"b", NULL, "big", "g", 7, 1, CS_MEMBER_JOINING, false},
+				       {NULL}};
+	static const shown_t free_one[] = {{.id = "c", .staged = "small"}, {NULL}};
+	plan_t p;
+	(void)state;
+	init (&p, 0);
+	cs_formation_fold (&p.formation, LATER_MS, 7, "g", "llm", "small", pair, 2);
+	show (&p, START_MS, slow);
+	plan (&p, LATER_MS);
+	assert_string_equal (proposed (&p), "");
+	show (&p, LATER_MS, free_one);
+	plan (&p, LATER_MS + 200);
+	assert_string_equal (proposed (&p), "small:a,c;");
+	finish (&p);
+}
+
+/* Back ends that stand by get the weights that their domain's groups need. */
+static void
+test_staging (void **state)
+{
+	static const shown_t shown[] = {{"a", "small", "small", "g", 7, 0, CS_MEMBER_OPEN, false},
+					{"b", "small", "small", "g", 7, 1, CS_MEMBER_READY, false},
+					{.id = "c"},
+					{NULL}};
+	plan_t p;
+	(void)state;
+	init (&p, 0);
+	cs_formation_fold (&p.formation, START_MS, 7, "g", "llm", "small", pair, 2);
+	show (&p, START_MS, shown);
+	plan (&p, LATER_MS);
+	assert_int_equal (count (&p, CS_FORM_STAGE), 1);
+	plan (&p, LATER_MS + 200);
+	assert_int_equal (count (&p, CS_FORM_STAGE), 0);
+	finish (&p);
+}
+
+int
+main (void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test (test_choice),   cmocka_unit_test (test_orders),
+		cmocka_unit_test (test_takeover), cmocka_unit_test (test_better),
+		cmocka_unit_test (test_staging),
+	};
+	return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/packages/http/tests/test_http.c
+++ b/packages/http/tests/test_http.c
@@ -168,6 +168,34 @@
 	}
 }
 
+/* An answer whose end only the closing of its connection marks, where that is allowed. */
+static void
+test_ends_by_close (void **state)
+{
+	static const struct {
+		const char *answer;
+		cs_http_end_t end;
+	} cases[] = {
+		{"HTTP/1.1 200 OK\r\n\r\nab", CS_HTTP_DONE},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab", CS_HTTP_BROKEN},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+		 CS_HTTP_BROKEN},
+		{"", CS_HTTP_BROKEN},
+	};
+	bench_t *b = *state;
+	for (size_t i = 0; i < CS_COUNT (cases); i++) {
+		seen_t s;
+		b->server.answer = cases[i].answer;
+		b->server.close = true;
+		begin (&s, &b->http, "GET", b->server.url);
+		s.call.ends_by_close = true;
+		assert_int_equal (cs_http_start (&b->http, &s.call), CS_OK);
+		ev_run (b->loop, 0);
+		assert_int_equal (s.end, cases[i].end);
+		finish (&s);
+	}
+}
+
 static void
 test_not_sent (void **state)
 {
@@ -302,6 +330,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup_teardown (test_ends, setup, teardown),
+		cmocka_unit_test_setup_teardown (test_ends_by_close, setup, teardown),
 		cmocka_unit_test_setup_teardown (test_not_sent, setup, teardown),
 		cmocka_unit_test_setup_teardown (test_no_silent_repeat, setup, teardown),
 		cmocka_unit_test_setup_teardown (test_connections, setup, teardown),
--- a/packages/http/tests/test_sse.c
+++ b/packages/http/tests/test_sse.c
@@ -78,11 +78,45 @@
 	cs_buf_finish (&out);
 }
 
+/* Ids that only rise: resumed behind an event, a repeated one is a fault. */
+static void
+test_rising (void **state)
+{
+	static const struct {
+		const char *stream;
+		uint64_t last;
+		size_t whole;
+		uint64_t next;
+		cs_status_t status;
+	} rising[] = {
+		{"id: 1\ndata: a\n\nid: 3\ndata: b\n\n", 0, 30, 4, CS_OK},
+		{"id: 13\ndata: a\n\n", 12, 16, 14, CS_OK},
+		{"id: 12\ndata: a\n\n", 12, 0, 13, CS_INVALID},
+		{"id: 2\n\nid: 2\n\n", 0, 7, 3, CS_INVALID},
+		{"id: 1\ndata: [DONE]\n\nid: 2\ndata: b\n\n", 0, 35, 3, CS_OK},
+		{"version: 2\nid: 1\ndata: a\n\nid: 2\nda", 0, 26, 2, CS_OK},
+	};
+	(void)state;
+	for (size_t i = 0; i < CS_COUNT (rising); i++) {
+		cs_buf_t out;
+		cs_sse_t sse;
+		cs_buf_init (&out);
+		cs_sse_init_rising (&sse, rising[i].last);
+		assert_int_equal (cs_sse_push (&sse, cs_str (rising[i].stream), &out),
+				  rising[i].status);
+		assert_int_equal (out.n, rising[i].whole);
+		assert_int_equal (sse.next, rising[i].next);
+		cs_sse_finish (&sse);
+		cs_buf_finish (&out);
+	}
+}
+
 int
 main (void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test (test_cuts),
+		cmocka_unit_test (test_rising),
 		cmocka_unit_test (test_bound),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tools/completion/cornelspindled.bash
+++ b/tools/completion/cornelspindled.bash
@@ -2,7 +2,7 @@
 _cornelspindled() {
 	local word=${COMP_WORDS[COMP_CWORD]}
 	case $word in
-	-*) mapfile -t COMPREPLY < <(compgen -W "--check --help --version" -- "$word") ;;
+	-*) mapfile -t COMPREPLY < <(compgen -W "--check --help --hosted --version" -- "$word") ;;
 	*) mapfile -t COMPREPLY < <(compgen -f -X '!*.toml' -- "$word") ;;
 	esac
 }
