--- a/packages/decide/src/fleet.c
+++ b/packages/decide/src/fleet.c
@@ -233,8 +233,10 @@
 {
 	cs_fleet_entry_t *e, *next;
 	cs_fleet_group_t *g, *next_g;
-	HASH_ITER (hh, f->entries, e, next)
+	HASH_ITER (hh, f->entries, e, next) {
 		discard (f, e);
-	HASH_ITER (hh, f->groups, g, next_g)
+	}
+	HASH_ITER (hh, f->groups, g, next_g) {
 		forget_group (f, g);
+	}
 }
--- a/packages/decide/src/formation_gather.c
+++ b/packages/decide/src/formation_gather.c
@@ -39,8 +39,9 @@
 {
 	double n = 0;
 	cs_band_t *b, *next;
-	HASH_ITER (hh, v->f->bands, b, next)
+	HASH_ITER (hh, v->f->bands, b, next) {
 		n += is_of (v, b, p, model, zone);
+	}
 	for (size_t i = 0; i < v->f->n_proposed; i++)
 		n += is_of (v, v->f->proposed[i], p, model, zone);
 	return n;
@@ -113,7 +114,7 @@
 	d->free -= m->group_size;
 	/* A name is used once: the epoch, which makes it unique, is not known yet. */
 	snprintf (name, sizeof name, "%.*s-%llx", MAX_NAME - 24, m->name,
-		  (unsigned long long)(v->now_ms * 64 + (int64_t)f->n_proposed));
+		  (unsigned long long)v->now_ms * 64 + f->n_proposed);
 	f->proposed = cs_realloc (f->proposed, (f->n_proposed + 1) * sizeof *f->proposed);
 	f->proposed[f->n_proposed++] =
 		cs_band_new (0, name, p->service->name, m->name, ids, m->group_size);
--- a/packages/decide/src/formation_tend.c
+++ b/packages/decide/src/formation_tend.c
@@ -53,10 +53,11 @@
 led_before (const cs_form_view_t *v, const cs_band_t *band, const char *id)
 {
 	cs_band_t *b, *next;
-	HASH_ITER (hh, v->f->bands, b, next)
+	HASH_ITER (hh, v->f->bands, b, next) {
 		if (b->epoch < band->epoch && !b->released && (b->opened || b->inherited) &&
 		    !strcmp (b->members[0], id))
 			return b;
+	}
 	return NULL;
 }
 
--- a/packages/decide/src/suspects.c
+++ b/packages/decide/src/suspects.c
@@ -27,8 +27,9 @@
 cs_suspects_finish (cs_suspects_t *s)
 {
 	cs_suspect_t *e, *next;
-	HASH_ITER (hh, s->entries, e, next)
+	HASH_ITER (hh, s->entries, e, next) {
 		discard (s, e);
+	}
 }
 
 static cs_suspect_t *
@@ -106,8 +107,9 @@
 cs_suspects_tick (cs_suspects_t *s, int64_t now_ms)
 {
 	cs_suspect_t *e, *next;
-	HASH_ITER (hh, s->entries, e, next)
+	HASH_ITER (hh, s->entries, e, next) {
 		if (now_ms - e->until_ms > CS_SUSPECT_FORGET_MS &&
 		    now_ms - e->answered_ms > CS_SUSPECT_FORGET_MS)
 			discard (s, e);
+	}
 }
--- a/packages/decide/tests/invariant_formation.c
+++ b/packages/decide/tests/invariant_formation.c
@@ -240,7 +240,7 @@
 	case 10:
 		for (int i = 0; i < SUPPORT_SERVERS; i++)
 			if (w->servers[i].exists && !w->servers[i].alive &&
-			    w->now_ms - w->servers[i].beat_ms > 2 * LAPSE_MS)
+			    w->now_ms - w->servers[i].beat_ms > (int64_t)2 * LAPSE_MS)
 				w->servers[i].exists = false;
 		break;
 	default:
--- a/packages/former/src/former.c
+++ b/packages/former/src/former.c
@@ -170,17 +170,6 @@
 	ev_timer_start (task->kernel->loop, &f->tick);
 }
 
-static void
-take_backend (cs_former_t *f, const cs_backend_msg_t *m)
-{
-	if (!m->backend) {
-		cs_fleet_remove (&f->fleet, cs_now_ms (), m->id);
-		return;
-	}
-	cs_ref_get (&m->backend->ref);
-	cs_fleet_set (&f->fleet, cs_now_ms (), m->backend);
-}
-
 static void
 receive (cs_task_t *task, cs_msg_t *m)
 {
@@ -193,7 +182,7 @@
 		cs_ref_get (&f->serving->ref);
 		break;
 	case CS_HOST_BACKEND:
-		take_backend (f, (cs_backend_msg_t *)m);
+		cs_backend_msg_apply ((cs_backend_msg_t *)m, &f->fleet);
 		break;
 	case CS_HOST_LIST_STATE:
 		cs_fleet_reached (&f->fleet, cs_now_ms (), ((cs_state_msg_t *)m)->yes);
--- a/packages/forward/src/forward.c
+++ b/packages/forward/src/forward.c
@@ -98,15 +98,7 @@
 static void
 take_backend (cs_forward_t *f, const cs_backend_msg_t *m)
 {
-	int64_t now = cs_now_ms ();
-	bool changed;
-	if (m->backend) {
-		cs_ref_get (&m->backend->ref);
-		changed = cs_fleet_set (&f->fleet, now, m->backend);
-	} else {
-		changed = cs_fleet_remove (&f->fleet, now, m->id);
-	}
-	if (!changed)
+	if (!cs_backend_msg_apply (m, &f->fleet))
 		return;
 	f->targets_stale = true;
 	const cs_backend_t *b = m->backend;
--- a/packages/host/include/cs/host_messages.h
+++ b/packages/host/include/cs/host_messages.h
@@ -24,7 +24,7 @@
 	CS_HOST_LEDGER,
 	CS_HOST_PROPOSE,
 	CS_HOST_PROPOSED,
-	CS_HOST_NOTE, /* cs_ledger_msg_t: a packed Note; `offset` is its place in the topic */
+	CS_HOST_NOTE,    /* cs_ledger_msg_t: a packed Note; `offset` is its place in the topic */
 	CS_HOST_TRAFFIC, /* a caller's first request has come */
 	CS_HOST_STOP
 } cs_host_msg_kind_t;
@@ -62,6 +62,8 @@
 cs_serving_msg_t *cs_serving_msg (cs_serving_t *serving);
 /* Takes a reference of the back end. */
 cs_backend_msg_t *cs_backend_msg (cs_str_t id, cs_backend_t *backend);
+/* Brings the fleet up to date; false if nothing changed. */
+bool cs_backend_msg_apply (const cs_backend_msg_t *m, cs_fleet_t *fleet);
 cs_state_msg_t *cs_state_msg (int kind, bool yes, int64_t until_ms);
 cs_ledger_msg_t *cs_ledger_msg (int kind, uint64_t offset, cs_str_t bytes, cs_status_t status);
 
--- a/packages/host/src/host_messages.c
+++ b/packages/host/src/host_messages.c
@@ -51,6 +51,15 @@
 	return m;
 }
 
+bool
+cs_backend_msg_apply (const cs_backend_msg_t *m, cs_fleet_t *fleet)
+{
+	if (!m->backend)
+		return cs_fleet_remove (fleet, cs_now_ms (), m->id);
+	cs_ref_get (&m->backend->ref);
+	return cs_fleet_set (fleet, cs_now_ms (), m->backend);
+}
+
 cs_state_msg_t *
 cs_state_msg (int kind, bool yes, int64_t until_ms)
 {
