formation: a new planner waits as long as the old one's lease may last

Cause: the holder's lease grew to 1.6 s, so an old planner may act for 1.28 s, while a new one gave orders after 1.0 s. The invariant and the unit cases take the constant and pass with it.

--- a/packages/decide/include/cs/formation.h
+++ b/packages/decide/include/cs/formation.h
@@ -28,7 +28,7 @@
 
 enum {
 	CS_FORMATION_ORDER_LATE_MS = 12500, /* the platform: an order may take effect 12 s late */
-	CS_FORMATION_TAKEOVER_MS = 1000,    /* a planner stops within its lease of 0.96 s */
+	CS_FORMATION_TAKEOVER_MS = 1300,    /* a planner stops within its lease of 1.28 s */
 	CS_FORMATION_ASKED_MS = 1500,       /* daemons answer a question well within that */
 	CS_FORMATION_OPENING_MS = 500,      /* a head opens 0.3 s after it took the order */
 	CS_FORMATION_SILENT_PROBES = 2,     /* in a row: one may be lost on the way */
