--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -19,6 +19,7 @@
 	-D_GNU_SOURCE -DPROTOBUF_C_VERSION_NUMBER=1004001 \
 	-DPROTOBUF_C_MIN_COMPILER_VERSION=1003003 --library=tools/cppcheck.cfg \
 	$(for p in packages/*/include; do printf -- '-I %s ' "$p"; done) \
-	-i packages/wire/src packages standins bench || status=1
+	-I platform/include -I platform/src \
+	-i packages/wire/src packages platform standins bench || status=1
 [ $status = 0 ] && echo "lint: clean"
 exit $status
