httpd: one outbox, one way to suspend, answer and log for all servers

All use packages/httpd now. The servers of readiness, metrics and reads wrote their errors past the log; they no longer do.

--- a/packages/forward/src/call.c
+++ b/packages/forward/src/call.c
@@ -51,7 +51,7 @@
 	cs_headers_clear (&c->headers);
 	cs_headers_clear (&c->answer);
 	cs_buf_finish (&c->body);
-	cs_buf_finish (&c->queue);
+	cs_httpd_outbox_finish (&c->outbox);
 	free (c->method);
 	free (c->target);
 	free (c->service);
--- a/packages/forward/src/entry.c
+++ b/packages/forward/src/entry.c
@@ -122,21 +122,10 @@
 	cs_call_free (c);
 }
 
-static void
-on_log (void *data, const char *format, va_list ap)
-{
-	char text[256];
-	(void)data;
-	vsnprintf (text, sizeof text, format, ap);
-	text[strcspn (text, "\n")] = 0;
-	cs_log ("forward", CS_LOG_DEBUG, "%s", text);
-}
-
 cs_status_t
 cs_entry_start (cs_forward_t *f)
 {
 	struct MHD_OptionItem options[] = {
-		{MHD_OPTION_EXTERNAL_LOGGER, (intptr_t)on_log, f},
 		{MHD_OPTION_URI_LOG_CALLBACK, (intptr_t)on_target, f},
 		{MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)on_completed, f},
 		{MHD_OPTION_CONNECTION_LIMIT, (intptr_t)f->host->max_connections, NULL},
@@ -145,6 +134,7 @@
 		{MHD_OPTION_END, 0, NULL},
 	};
 	f->callers.data = f;
+	f->callers.part = "forward";
 	return cs_httpd_start (&f->callers, f->task->kernel->loop, f->host->listen_callers,
 			       on_request, options);
 }
--- a/packages/forward/src/forward.h
+++ b/packages/forward/src/forward.h
@@ -137,8 +137,7 @@
 	bool has_head;
 	int status;
 	cs_headers_t answer;
-	cs_buf_t queue;
-	size_t taken;
+	cs_httpd_outbox_t outbox;
 	bool ended;
 	bool complete;
 	const char *own_reason; /* of an own refusal or failure; NULL: a back end's answer */
--- a/packages/forward/src/reply.c
+++ b/packages/forward/src/reply.c
@@ -9,52 +9,31 @@
 	BLOCK_BYTES = 4 << 10 /* given to the server at a time */
 };
 
-static size_t
-queued (const cs_call_t *c)
-{
-	return c->queue.n - c->taken;
-}
-
 static void
 suspend (cs_call_t *c)
 {
-	if (c->suspended)
-		return;
-	c->suspended = true;
-	MHD_suspend_connection (c->connection);
+	cs_httpd_suspend (c->connection, &c->suspended);
 }
 
 void
 cs_reply_resume (cs_call_t *c)
 {
-	if (!c->suspended)
-		return;
-	c->suspended = false;
-	MHD_resume_connection (c->connection);
-	cs_httpd_serve_soon (&c->forward->callers);
+	cs_httpd_resume (&c->forward->callers, c->connection, &c->suspended);
 }
 
 static ssize_t
 read_answer (void *data, uint64_t position, char *out, size_t max)
 {
 	cs_call_t *c = data;
-	size_t n = queued (c) < max ? queued (c) : max;
 	(void)position;
 	if (c->gone)
 		return MHD_CONTENT_READER_END_WITH_ERROR;
+	size_t n = cs_httpd_outbox_take (&c->outbox, out, max);
 	if (!n && c->ended)
 		return c->complete ? MHD_CONTENT_READER_END_OF_STREAM
 				   : MHD_CONTENT_READER_END_WITH_ERROR;
-	if (!n) {
+	if (!n)
 		suspend (c);
-		return 0;
-	}
-	memcpy (out, c->queue.p + c->taken, n);
-	c->taken += n;
-	if (!queued (c)) {
-		cs_buf_clear (&c->queue);
-		c->taken = 0;
-	}
 	return (ssize_t)n;
 }
 
@@ -83,7 +62,8 @@
 	}
 	bool whole = c->ended && c->complete;
 	struct MHD_Response *r = MHD_create_response_from_callback (
-		whole ? queued (c) : MHD_SIZE_UNKNOWN, BLOCK_BYTES, read_answer, c, NULL);
+		whole ? cs_httpd_outbox_size (&c->outbox) : MHD_SIZE_UNKNOWN, BLOCK_BYTES,
+		read_answer, c, NULL);
 	if (!r)
 		return MHD_NO;
 	c->phase = CS_CALL_ANSWERING;
@@ -108,12 +88,7 @@
 void
 cs_reply_body (cs_call_t *c, cs_str_t bytes)
 {
-	if (c->taken) {
-		cs_buf_consume (&c->queue, c->taken);
-		c->taken = 0;
-	}
-	if (bytes.n)
-		cs_buf_add (&c->queue, bytes);
+	cs_httpd_outbox_add (&c->outbox, bytes);
 	cs_reply_resume (c);
 }
 
--- a/packages/forward/src/status.c
+++ b/packages/forward/src/status.c
@@ -11,18 +11,6 @@
 	return f->serving && f->listed && !f->stopping_ms;
 }
 
-static enum MHD_Result
-answer (struct MHD_Connection *connection, unsigned status, const char *text, size_t n)
-{
-	struct MHD_Response *r =
-		MHD_create_response_from_buffer (n, (void *)(uintptr_t)text, MHD_RESPMEM_MUST_COPY);
-	if (!r)
-		return MHD_NO;
-	enum MHD_Result result = MHD_queue_response (connection, status, r);
-	MHD_destroy_response (r);
-	return result;
-}
-
 static enum MHD_Result
 on_ready (void *data, struct MHD_Connection *connection, const char *url, const char *method,
 	  const char *version, const char *part, size_t *n, void **state)
@@ -34,10 +22,10 @@
 	(void)n;
 	(void)state;
 	if (strcmp (url, f->host->adapter->ready_path) != 0)
-		return answer (connection, 404, "", 0);
+		return cs_httpd_answer (connection, 404, cs_str (NULL));
 	bool ready = cs_forward_is_ready (f);
-	return answer (connection, ready ? 200 : 503, ready ? "ready\n" : "not ready\n",
-		       ready ? 6 : 10);
+	return cs_httpd_answer (connection, ready ? 200 : 503,
+				cs_str (ready ? "ready\n" : "not ready\n"));
 }
 
 static enum MHD_Result
@@ -54,7 +42,7 @@
 	(void)state;
 	cs_buf_init (&text);
 	cs_counters_print (&text);
-	enum MHD_Result result = answer (connection, 200, text.p ? text.p : "", text.n);
+	enum MHD_Result result = cs_httpd_answer (connection, 200, cs_buf_str (&text));
 	cs_buf_finish (&text);
 	return result;
 }
@@ -66,6 +54,7 @@
 	struct ev_loop *loop = f->task->kernel->loop;
 	f->status.data = f;
 	f->metrics.data = f;
+	f->status.part = f->metrics.part = "forward";
 	cs_status_t status =
 		cs_httpd_start (&f->status, loop, f->host->listen_ready, on_ready, options);
 	if (status != CS_OK)
--- a/packages/gateway/src/answer.c
+++ b/packages/gateway/src/answer.c
@@ -12,12 +12,6 @@
 	BLOCK_BYTES = 4 << 10    /* given to the server at a time */
 };
 
-static size_t
-queued (const cs_exchange_t *x)
-{
-	return x->queue.n - x->taken;
-}
-
 static void
 send_flow (cs_exchange_t *x, bool paused)
 {
@@ -30,10 +24,10 @@
 read_answer (void *data, uint64_t position, char *out, size_t max)
 {
 	cs_exchange_t *x = data;
-	size_t n = queued (x) < max ? queued (x) : max;
 	(void)position;
 	if (x->gone)
 		return MHD_CONTENT_READER_END_WITH_ERROR;
+	size_t n = cs_httpd_outbox_take (&x->outbox, out, max);
 	if (!n && x->ended)
 		return x->complete ? MHD_CONTENT_READER_END_OF_STREAM
 				   : MHD_CONTENT_READER_END_WITH_ERROR;
@@ -41,14 +35,8 @@
 		cs_exchange_suspend (x);
 		return 0;
 	}
-	memcpy (out, x->queue.p + x->taken, n);
-	x->taken += n;
 	cs_stats_bytes (n);
-	if (!queued (x)) {
-		cs_buf_clear (&x->queue);
-		x->taken = 0;
-	}
-	if (x->paused && queued (x) < RESUME_BYTES)
+	if (x->paused && cs_httpd_outbox_size (&x->outbox) < RESUME_BYTES)
 		send_flow (x, false);
 	return (ssize_t)n;
 }
@@ -82,7 +70,8 @@
 	}
 	bool whole = x->ended && x->complete;
 	struct MHD_Response *r = MHD_create_response_from_callback (
-		whole ? queued (x) : MHD_SIZE_UNKNOWN, BLOCK_BYTES, read_answer, x, NULL);
+		whole ? cs_httpd_outbox_size (&x->outbox) : MHD_SIZE_UNKNOWN, BLOCK_BYTES,
+		read_answer, x, NULL);
 	if (!r)
 		return MHD_NO;
 	x->first_byte_us = cs_now_us ();
@@ -139,13 +128,9 @@
 static void
 take_body (cs_exchange_t *x, const cs_answer_msg_t *m)
 {
-	if (x->taken) {
-		cs_buf_consume (&x->queue, x->taken);
-		x->taken = 0;
-	}
-	cs_buf_add (&x->queue, cs_buf_str (&m->bytes));
+	cs_httpd_outbox_add (&x->outbox, cs_buf_str (&m->bytes));
 	/* Said again for each body: another attempt may have begun since. */
-	if (x->queue.n > PAUSE_BYTES)
+	if (cs_httpd_outbox_size (&x->outbox) > PAUSE_BYTES)
 		send_flow (x, true);
 }
 
@@ -166,9 +151,9 @@
 		return;
 	}
 	if (cs_str_starts (cs_str (x->content_type), "text/event-stream")) {
-		cs_buf_addz (&x->queue, "event: error\ndata: ");
-		cs_problem_write (&p, x->id, &x->queue);
-		cs_buf_addz (&x->queue, "\n\n");
+		cs_buf_addz (&x->outbox.queue, "event: error\ndata: ");
+		cs_problem_write (&p, x->id, &x->outbox.queue);
+		cs_buf_addz (&x->outbox.queue, "\n\n");
 	}
 	cs_problem_finish (&p);
 }
--- a/packages/gateway/src/exchange.c
+++ b/packages/gateway/src/exchange.c
@@ -82,7 +82,7 @@
 	DL_DELETE (g->exchanges, x);
 	cs_buf_finish (&x->target);
 	cs_buf_finish (&x->body);
-	cs_buf_finish (&x->queue);
+	cs_httpd_outbox_finish (&x->outbox);
 	cs_problem_finish (&x->problem);
 	free (x->method);
 	free (x->content_type);
@@ -216,18 +216,11 @@
 void
 cs_exchange_suspend (cs_exchange_t *x)
 {
-	if (x->suspended)
-		return;
-	x->suspended = true;
-	MHD_suspend_connection (x->connection);
+	cs_httpd_suspend (x->connection, &x->suspended);
 }
 
 void
 cs_exchange_resume (cs_exchange_t *x)
 {
-	if (!x->suspended)
-		return;
-	x->suspended = false;
-	MHD_resume_connection (x->connection);
-	cs_httpd_serve_soon (&x->gateway->http);
+	cs_httpd_resume (&x->gateway->http, x->connection, &x->suspended);
 }
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -57,8 +57,7 @@
 	bool has_head;
 	int status;
 	char *content_type;
-	cs_buf_t queue; /* bytes of the answer that the caller has not yet taken */
-	size_t taken;   /* of the queue's start */
+	cs_httpd_outbox_t outbox;
 	bool paused;    /* the back end has been asked to wait */
 	bool ended;
 	bool complete;
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -118,23 +118,12 @@
 	return x->phase == CS_PHASE_READING ? run (x) : cs_answer_queue (x);
 }
 
-static void
-on_log (void *data, const char *format, va_list ap)
-{
-	char text[256];
-	(void)data;
-	vsnprintf (text, sizeof text, format, ap);
-	text[strcspn (text, "\n")] = 0;
-	cs_log ("gateway", CS_LOG_DEBUG, "%s", text);
-}
-
 static cs_status_t
 start_server (cs_gateway_t *g)
 {
 	const cs_settings_t *s = g->settings;
 	size_t pool = (size_t)s->max_header_bytes + POOL_EXTRA_BYTES;
 	struct MHD_OptionItem options[] = {
-		{MHD_OPTION_EXTERNAL_LOGGER, (intptr_t)on_log, g},
 		{MHD_OPTION_URI_LOG_CALLBACK, (intptr_t)on_target, g},
 		{MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)on_completed, g},
 		{MHD_OPTION_CONNECTION_LIMIT, (intptr_t)s->max_connections, NULL},
@@ -143,6 +132,7 @@
 		{MHD_OPTION_END, 0, NULL},
 	};
 	g->http.data = g;
+	g->http.part = "gateway";
 	g->http.after_turn = after_turn;
 	return cs_httpd_start (&g->http, g->task->kernel->loop, s->listen, on_request, options);
 }
--- a/packages/gateway/tests/test_flow.c
+++ b/packages/gateway/tests/test_flow.c
@@ -95,7 +95,7 @@
 	}
 	assert_true (fake.paused);
 	const cs_exchange_t *x = fake.request->connection;
-	assert_in_range (x->queue.n, 1, QUEUE_BYTES);
+	assert_in_range (x->outbox.queue.n, 1, QUEUE_BYTES);
 	ev_io_start (b->kernel.loop, &c.io);
 	for (int i = 0; i < 500 && fake.paused; i++)
 		turn (b, 0.01);
--- a/packages/httpd/src/httpd.c
+++ b/packages/httpd/src/httpd.c
@@ -1,9 +1,11 @@
 #include "cs/httpd.h"
 
 #include <netdb.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "cs/log.h"
 #include "cs/str.h"
 
 enum {
@@ -82,6 +84,16 @@
 	return found;
 }
 
+static void
+on_log (void *data, const char *format, va_list ap)
+{
+	const cs_httpd_t *h = data;
+	char text[256];
+	vsnprintf (text, sizeof text, format, ap);
+	text[strcspn (text, "\n")] = 0;
+	cs_log (h->part, CS_LOG_DEBUG, "%s", text);
+}
+
 cs_status_t
 cs_httpd_start (cs_httpd_t *h, struct ev_loop *loop, const char *listen,
 		MHD_AccessHandlerCallback handler, struct MHD_OptionItem *options)
@@ -93,9 +105,9 @@
 	if (address->ai_family == AF_INET6)
 		flags |= MHD_USE_IPv6;
 	h->loop = loop;
-	h->server =
-		MHD_start_daemon (flags, 0, NULL, NULL, handler, h->data, MHD_OPTION_ARRAY, options,
-				  MHD_OPTION_SOCK_ADDR, address->ai_addr, MHD_OPTION_END);
+	h->server = MHD_start_daemon (
+		flags, 0, NULL, NULL, handler, h->data, MHD_OPTION_EXTERNAL_LOGGER, on_log, h,
+		MHD_OPTION_ARRAY, options, MHD_OPTION_SOCK_ADDR, address->ai_addr, MHD_OPTION_END);
 	freeaddrinfo (address);
 	if (!h->server)
 		return cs_fail (CS_UNAVAILABLE, "cannot listen on %s", listen);
--- /dev/null
+++ b/packages/httpd/src/outbox.c
@@ -0,0 +1,42 @@
+#include <string.h>
+
+#include "cs/httpd.h"
+
+size_t
+cs_httpd_outbox_size (const cs_httpd_outbox_t *o)
+{
+	return o->queue.n - o->taken;
+}
+
+void
+cs_httpd_outbox_add (cs_httpd_outbox_t *o, cs_str_t bytes)
+{
+	if (o->taken) {
+		cs_buf_consume (&o->queue, o->taken);
+		o->taken = 0;
+	}
+	if (bytes.n)
+		cs_buf_add (&o->queue, bytes);
+}
+
+size_t
+cs_httpd_outbox_take (cs_httpd_outbox_t *o, char *out, size_t max)
+{
+	size_t left = cs_httpd_outbox_size (o);
+	size_t n = left < max ? left : max;
+	if (!n)
+		return 0;
+	memcpy (out, o->queue.p + o->taken, n);
+	o->taken += n;
+	if (n == left) {
+		cs_buf_clear (&o->queue);
+		o->taken = 0;
+	}
+	return n;
+}
+
+void
+cs_httpd_outbox_finish (cs_httpd_outbox_t *o)
+{
+	cs_buf_finish (&o->queue);
+}
