--- a/packages/former/src/former.c
+++ b/packages/former/src/former.c
@@ -5,7 +5,6 @@
 #include <string.h>
 
 #include "cs/log.h"
-#include "cs/note.pb-c.h"
 #include "cs/record.pb-c.h"
 
 enum {
@@ -176,10 +175,7 @@
 	cs_former_t *f = task->state;
 	switch (m->kind) {
 	case CS_HOST_SERVING:
-		if (f->serving)
-			cs_ref_put (&f->serving->ref);
-		f->serving = ((cs_serving_msg_t *)m)->serving;
-		cs_ref_get (&f->serving->ref);
+		cs_serving_msg_apply ((cs_serving_msg_t *)m, &f->serving);
 		break;
 	case CS_HOST_BACKEND:
 		cs_backend_msg_apply ((cs_backend_msg_t *)m, &f->fleet);
--- a/packages/former/src/order.c
+++ b/packages/former/src/order.c
@@ -5,7 +5,6 @@
 
 #include "cs/counters.h"
 #include "cs/log.h"
-#include "cs/note.pb-c.h"
 #include "former.h"
 
 enum {
@@ -119,16 +118,12 @@
 {
 	Cs__HeadQuestion question = CS__HEAD_QUESTION__INIT;
 	Cs__Note note = CS__NOTE__INIT;
-	cs_ledger_msg_t *m = cs_ledger_msg (CS_HOST_NOTE, 0, cs_str (NULL), CS_OK);
 	question.epoch = a->band->epoch;
 	question.head = (char *)(uintptr_t)a->id;
 	question.address = (char *)(uintptr_t)address;
-	note.from = f->host->name;
 	note.body_case = CS__NOTE__BODY_QUESTION;
 	note.question = &question;
-	cs_buf_reserve (&m->bytes, cs__note__get_packed_size (&note));
-	m->bytes.n = cs__note__pack (&note, (uint8_t *)m->bytes.p);
-	cs_send (f->task, f->store, &m->msg);
+	cs_send (f->task, f->store, &cs_note_msg (f->host->name, &note)->msg);
 }
 
 void
--- a/packages/forward/src/counts.c
+++ b/packages/forward/src/counts.c
@@ -84,8 +84,7 @@
 }
 
 void
-cs_counts_attempt (const cs_sending_t *s, const cs_attempt_t *result)
+cs_counts_attempt (const cs_attempt_t *result)
 {
-	(void)s;
 	cs_count (&attempts[result->end], 1);
 }
--- a/packages/forward/src/forward.c
+++ b/packages/forward/src/forward.c
@@ -8,8 +8,6 @@
 
 enum {
 	TICK_MS = 200,
-	BALANCER_MS = 2500,   /* the balancer stops sending after two misses, one a second */
-	STOP_MARGIN_MS = 400, /* a stop ends that long before the platform ends the process */
 	BUDGET_PERCENT_OF =
 		90,        /* of the ratio that all daemons may repeat: views differ a little */
 	ZONE_PENALTY = 1,  /* requests: another zone is some ms away, within one region */
@@ -85,16 +83,6 @@
 	ev_timer_start (task->kernel->loop, &f->tick);
 }
 
-static void
-take_serving (cs_forward_t *f, cs_serving_t *serving)
-{
-	if (f->serving)
-		cs_ref_put (&f->serving->ref);
-	f->serving = serving;
-	cs_ref_get (&serving->ref);
-	f->targets_stale = true;
-}
-
 static void
 take_backend (cs_forward_t *f, const cs_backend_msg_t *m)
 {
@@ -117,7 +105,8 @@
 	const cs_state_msg_t *state = (const cs_state_msg_t *)m;
 	switch (m->kind) {
 	case CS_HOST_SERVING:
-		take_serving (f, ((cs_serving_msg_t *)m)->serving);
+		cs_serving_msg_apply ((cs_serving_msg_t *)m, &f->serving);
+		f->targets_stale = true;
 		break;
 	case CS_HOST_BACKEND:
 		take_backend (f, (cs_backend_msg_t *)m);
--- a/packages/forward/src/forward.h
+++ b/packages/forward/src/forward.h
@@ -151,7 +151,6 @@
 /* status.c: readiness and metrics. */
 cs_status_t cs_status_start (cs_forward_t *f);
 void cs_status_stop (cs_forward_t *f);
-bool cs_forward_is_ready (const cs_forward_t *f);
 /* call.c */
 cs_call_t *cs_call_new (cs_forward_t *f, struct MHD_Connection *connection, const char *target);
 void cs_call_free (cs_call_t *c);
@@ -171,8 +170,6 @@
 void cs_queue_leave (cs_call_t *c);
 /* An attempt at the service has ended. */
 void cs_queue_ended (cs_forward_t *f, const char *service);
-/* Sends on and refuses who waits. */
-void cs_queue_run (cs_forward_t *f);
 /* targets.c: brings the router up to date with the fleet. */
 void cs_targets_refresh (cs_forward_t *f);
 /* The router's name of what serves the model of a service. */
@@ -195,6 +192,6 @@
 void cs_notes_take (cs_forward_t *f, cs_str_t bytes);
 /* counts.c */
 void cs_counts_ended (const cs_call_t *c);
-void cs_counts_attempt (const cs_sending_t *s, const cs_attempt_t *result);
+void cs_counts_attempt (const cs_attempt_t *result);
 
 #endif
--- a/packages/forward/src/notes.c
+++ b/packages/forward/src/notes.c
@@ -4,7 +4,6 @@
 #include <string.h>
 
 #include "cs/log.h"
-#include "cs/note.pb-c.h"
 #include "forward.h"
 
 enum {
@@ -24,11 +23,8 @@
 static void
 give (cs_forward_t *f, Cs__Note *note)
 {
-	cs_ledger_msg_t *m = cs_ledger_msg (CS_HOST_NOTE, 0, cs_str (NULL), CS_OK);
-	note->from = f->host->name;
-	cs_buf_reserve (&m->bytes, cs__note__get_packed_size (note));
-	m->bytes.n = cs__note__pack (note, (uint8_t *)m->bytes.p);
-	cs_send (f->task, cs_task_find (f->task->kernel, "store"), &m->msg);
+	cs_send (f->task, cs_task_find (f->task->kernel, "store"),
+		 &cs_note_msg (f->host->name, note)->msg);
 }
 
 void
--- a/packages/forward/src/queue.c
+++ b/packages/forward/src/queue.c
@@ -115,8 +115,9 @@
 	cs_admission_drained (&l->admission);
 }
 
-void
-cs_queue_run (cs_forward_t *f)
+/* Sends on and refuses who waits. */
+static void
+serve_lines (cs_forward_t *f)
 {
 	bool waiting = false;
 	for (cs_line_t *l = f->lines; l; l = l->hh.next) {
@@ -133,7 +134,7 @@
 {
 	(void)loop;
 	(void)events;
-	cs_queue_run (w->data);
+	serve_lines (w->data);
 }
 
 void
--- a/packages/forward/src/status.c
+++ b/packages/forward/src/status.c
@@ -5,8 +5,8 @@
 #include "cs/log.h"
 #include "forward.h"
 
-bool
-cs_forward_is_ready (const cs_forward_t *f)
+static bool
+is_ready (const cs_forward_t *f)
 {
 	return f->serving && f->listed && !f->stopping_ms;
 }
@@ -23,7 +23,7 @@
 	(void)state;
 	if (strcmp (url, f->host->adapter->ready_path) != 0)
 		return cs_httpd_answer (connection, 404, cs_str (NULL));
-	bool ready = cs_forward_is_ready (f);
+	bool ready = is_ready (f);
 	return cs_httpd_answer (connection, ready ? 200 : 503,
 				cs_str (ready ? "ready\n" : "not ready\n"));
 }
--- a/packages/forward/src/verdict.c
+++ b/packages/forward/src/verdict.c
@@ -139,7 +139,7 @@
 	int64_t delay_ms = 0;
 	learn (s, a);
 	cs_queue_ended (c->forward, s->service);
-	cs_counts_attempt (s, a);
+	cs_counts_attempt (a);
 	if (!c->gone) {
 		c->runs += cs_outcome_run (a) != CS_RUN_NO;
 		cs_request_state_t state = {.route = c->route,
--- a/packages/host/include/cs/host.h
+++ b/packages/host/include/cs/host.h
@@ -68,7 +68,7 @@
 	char *name;
 	char *zone;
 	char *listen_callers;  /* IP:PORT */
-	char *listen_ready;    /* IP:PORT of readiness and metrics */
+	char *listen_ready;    /* IP:PORT of readiness */
 	char *listen_metrics;  /* IP:PORT */
 	char *listen_internal; /* IP:PORT for other daemons */
 	char *store_address;   /* IP:PORT of the metadata store */
--- a/packages/host/include/cs/host_messages.h
+++ b/packages/host/include/cs/host_messages.h
@@ -14,6 +14,7 @@
 
 #include "cs/fleet.h"
 #include "cs/kernel.h"
+#include "cs/note.pb-c.h"
 #include "cs/serving.h"
 
 typedef enum {
@@ -60,11 +61,15 @@
 } cs_ledger_msg_t;
 
 cs_serving_msg_t *cs_serving_msg (cs_serving_t *serving);
+/* Puts the newer configuration in place of the one held, which may be NULL. */
+void cs_serving_msg_apply (const cs_serving_msg_t *m, cs_serving_t **held);
 /* Takes a reference of the back end. */
 cs_backend_msg_t *cs_backend_msg (cs_str_t id, cs_backend_t *backend);
 /* Brings the fleet up to date; false if nothing changed. */
 bool cs_backend_msg_apply (const cs_backend_msg_t *m, cs_fleet_t *fleet);
 cs_state_msg_t *cs_state_msg (int kind, bool yes, int64_t until_ms);
 cs_ledger_msg_t *cs_ledger_msg (int kind, uint64_t offset, cs_str_t bytes, cs_status_t status);
+/* NOTE for the store: a note of the daemon with that name. */
+cs_ledger_msg_t *cs_note_msg (const char *from, Cs__Note *note);
 
 #endif
--- a/packages/host/src/host_messages.c
+++ b/packages/host/src/host_messages.c
@@ -40,6 +40,15 @@
 	return m;
 }
 
+void
+cs_serving_msg_apply (const cs_serving_msg_t *m, cs_serving_t **held)
+{
+	cs_ref_get (&m->serving->ref);
+	if (*held)
+		cs_ref_put (&(*held)->ref);
+	*held = m->serving;
+}
+
 cs_backend_msg_t *
 cs_backend_msg (cs_str_t id, cs_backend_t *backend)
 {
@@ -80,3 +89,13 @@
 		cs_buf_add (&m->bytes, bytes);
 	return m;
 }
+
+cs_ledger_msg_t *
+cs_note_msg (const char *from, Cs__Note *note)
+{
+	cs_ledger_msg_t *m = cs_ledger_msg (CS_HOST_NOTE, 0, cs_str (NULL), CS_OK);
+	note->from = (char *)(uintptr_t)from;
+	cs_buf_reserve (&m->bytes, cs__note__get_packed_size (note));
+	m->bytes.n = cs__note__pack (note, (uint8_t *)m->bytes.p);
+	return m;
+}
