--- a/packages/forward/src/dispatch.c
+++ b/packages/forward/src/dispatch.c
@@ -62,18 +62,6 @@
 		cs_reply_own (c, STATUS_UNAVAILABLE, reason, retry_after_ms);
 }
 
-bool
-cs_dispatch_waiting (cs_call_t *c, const char *service)
-{
-	cs_route_t chosen;
-	cs_targets_refresh (c->forward);
-	if (pick (c, service, &chosen) == CS_EXHAUSTED)
-		return false;
-	c->line = NULL;
-	cs_dispatch (c);
-	return true;
-}
-
 /* Nothing takes the request now. */
 static void
 hold_or_refuse (cs_call_t *c, cs_status_t status, const char *service)
@@ -86,6 +74,29 @@
 			    busy ? (uint32_t)retry_after_ms : NO_TARGET_RETRY_MS);
 }
 
+/* Sends the request to the chosen back end, or does without one. */
+static void
+go_on (cs_call_t *c, cs_status_t status, const char *service, const cs_route_t *chosen)
+{
+	if (status == CS_OK)
+		status = cs_sending_start (c, chosen->name, service);
+	if (status != CS_OK)
+		hold_or_refuse (c, status, service);
+}
+
+bool
+cs_dispatch_waiting (cs_call_t *c, const char *service)
+{
+	cs_route_t chosen;
+	cs_targets_refresh (c->forward);
+	cs_status_t status = pick (c, service, &chosen);
+	if (status == CS_EXHAUSTED)
+		return false;
+	c->line = NULL;
+	go_on (c, status, service, &chosen);
+	return true;
+}
+
 void
 cs_dispatch (cs_call_t *c)
 {
@@ -101,9 +112,6 @@
 	cs_targets_service (&service, c->service,
 			    declared && declared->n_models ? model : cs_str (""));
 	cs_status_t status = pick (c, service.p, &chosen);
-	if (status == CS_OK)
-		status = cs_sending_start (c, chosen.name, service.p);
-	if (status != CS_OK)
-		hold_or_refuse (c, status, service.p);
+	go_on (c, status, service.p, &chosen);
 	cs_buf_finish (&service);
 }
