--- a/packages/forward/src/sending.c
+++ b/packages/forward/src/sending.c
@@ -61,9 +61,7 @@
 static void
 set_bound (cs_sending_t *s, int64_t ms)
 {
-	ev_timer_stop (loop_of (s->call), &s->bound);
-	ev_timer_set (&s->bound, ms > 0 ? (double)ms / 1000. : 0., 0.);
-	ev_timer_start (loop_of (s->call), &s->bound);
+	cs_timer_in (loop_of (s->call), &s->bound, ms);
 }
 
 static void
--- a/packages/forward/src/verdict.c
+++ b/packages/forward/src/verdict.c
@@ -90,16 +90,13 @@
 follow (cs_sending_t *s, const cs_attempt_t *a, cs_then_t then, int64_t delay_ms)
 {
 	cs_call_t *c = s->call;
-	struct ev_loop *loop = c->forward->task->kernel->loop;
 	switch (then) {
 	case CS_THEN_DELIVER:
 		deliver (s, a);
 		break;
 	case CS_THEN_AGAIN:
 	case CS_THEN_RESUME:
-		ev_timer_stop (loop, &c->again);
-		ev_timer_set (&c->again, (double)delay_ms / 1000., 0.);
-		ev_timer_start (loop, &c->again);
+		cs_timer_in (c->forward->task->kernel->loop, &c->again, delay_ms);
 		break;
 	case CS_THEN_REFUSE:
 		cs_reply_own (c, STATUS_UNAVAILABLE, "not-taken", REFUSED_RETRY_MS);
--- a/packages/kernel/include/cs/kernel.h
+++ b/packages/kernel/include/cs/kernel.h
@@ -85,5 +85,7 @@
 int64_t cs_now_ms (void);
 /* Microseconds of the same clock. */
 int64_t cs_now_us (void);
+/* Starts the timer anew, to fire once in that time; at once for 0 and less. */
+void cs_timer_in (struct ev_loop *loop, ev_timer *w, int64_t ms);
 
 #endif
--- a/packages/kernel/src/kernel.c
+++ b/packages/kernel/src/kernel.c
@@ -167,3 +167,11 @@
 {
 	free (ref);
 }
+
+void
+cs_timer_in (struct ev_loop *loop, ev_timer *w, int64_t ms)
+{
+	ev_timer_stop (loop, w);
+	ev_timer_set (w, ms > 0 ? (double)ms / 1000. : 0., 0.);
+	ev_timer_start (loop, w);
+}
--- a/packages/logservice/src/reader.c
+++ b/packages/logservice/src/reader.c
@@ -109,8 +109,7 @@
 	r->failures++;
 	if (ms > LAST_RETRY_MS)
 		ms = LAST_RETRY_MS;
-	ev_timer_set (&r->retry, ms / 1000.0, 0);
-	ev_timer_start (r->platform->task->kernel->loop, &r->retry);
+	cs_timer_in (r->platform->task->kernel->loop, &r->retry, ms);
 }
 
 /* As many records as made such a body. */
