formation: proposals stand in one list

The planner told of each group to append twice, as an action that its callers skipped and as a proposal.

--- a/packages/decide/include/cs/formation.h
+++ b/packages/decide/include/cs/formation.h
@@ -82,8 +82,7 @@
 } cs_band_t;
 
 typedef enum {
-	CS_FORM_APPEND, /* a Form record */
-	CS_FORM_JOIN,
+	CS_FORM_JOIN = 1, /* numbers stand in the log: docs/OPERATIONS.md */
 	CS_FORM_OPEN,
 	CS_FORM_CLOSE,
 	CS_FORM_STAGE,
@@ -95,7 +94,7 @@
 typedef struct {
 	cs_form_kind_t kind;
 	const cs_band_t *band; /* NULL: STAGE */
-	const char *id;        /* of the back end; NULL: APPEND */
+	const char *id;        /* of the back end */
 	const char *address;
 	const char *model; /* JOIN and STAGE */
 	bool expects;      /* JOIN: refuse it if another order was taken behind `sequence` */
@@ -120,7 +119,7 @@
 typedef struct {
 	cs_band_t *bands;             /* uthash by epoch */
 	cs_assignment_t *assignments; /* uthash by back end */
-	cs_band_t **proposed;         /* bands of the plan's APPEND actions */
+	cs_band_t **proposed;         /* groups that the plan would have appended to the ledger */
 	size_t n_proposed;
 	int64_t started_ms; /* when this daemon began to plan */
 	int64_t loads_ms;   /* when load_tokens was brought up to date */
--- a/packages/decide/include/cs/serving.h
+++ b/packages/decide/include/cs/serving.h
@@ -88,6 +88,7 @@
 cs_serving_t *cs_serving_new (void);
 /* Adds a zeroed element; pointers to earlier ones of the same kind end. */
 cs_serving_route_t *cs_serving_add_route (cs_serving_t *s);
+void cs_serving_add_split (cs_serving_route_t *r, const char *service, uint32_t weight);
 cs_serving_service_t *cs_serving_add_service (cs_serving_t *s);
 cs_serving_model_t *cs_serving_add_model (cs_serving_service_t *service);
 /* Adds a team and returns its index. */
--- a/packages/decide/src/formation_gather.c
+++ b/packages/decide/src/formation_gather.c
@@ -118,8 +118,6 @@
 	f->proposed = cs_realloc (f->proposed, (f->n_proposed + 1) * sizeof *f->proposed);
 	f->proposed[f->n_proposed++] =
 		cs_band_new (0, name, p->service->name, m->name, ids, m->group_size);
-	cs_formation_act (f, CS_FORM_APPEND, "free back ends of one domain")->band =
-		f->proposed[f->n_proposed - 1];
 }
 
 /* True if back ends of the domain were listed just now: others with weights at hand may
--- a/packages/decide/src/serving.c
+++ b/packages/decide/src/serving.c
@@ -74,6 +74,14 @@
 	return &s->routes[s->n_routes++];
 }
 
+void
+cs_serving_add_split (cs_serving_route_t *r, const char *service, uint32_t weight)
+{
+	r->splits = extend (r->splits, r->n_splits, sizeof *r->splits);
+	r->splits[r->n_splits].service = cs_str_dup (cs_str (service));
+	r->splits[r->n_splits++].weight = weight;
+}
+
 cs_serving_service_t *
 cs_serving_add_service (cs_serving_t *s)
 {
--- a/packages/decide/tests/invariant_formation.c
+++ b/packages/decide/tests/invariant_formation.c
@@ -162,8 +162,6 @@
 	for (size_t i = 0; i < n; i++) {
 		const cs_form_action_t *a = &actions[i];
 		bool accepted = false;
-		if (a->kind == CS_FORM_APPEND)
-			continue;
 		if (a->kind == CS_FORM_PROBE)
 			probe (r, p, a->band->epoch, a->id);
 		else if (a->kind == CS_FORM_ASK)
--- a/packages/former/src/former.c
+++ b/packages/former/src/former.c
@@ -108,8 +108,7 @@
 		return;
 	cs_formation_plan (&f->formation, now, &f->fleet, f->serving);
 	for (size_t i = 0; i < f->formation.n_actions; i++)
-		if (f->formation.actions[i].kind != CS_FORM_APPEND)
-			cs_former_send (f, &f->formation.actions[i]);
+		cs_former_send (f, &f->formation.actions[i]);
 	propose (f);
 }
 
--- a/packages/former/src/order.c
+++ b/packages/former/src/order.c
@@ -59,7 +59,10 @@
 static void
 on_end (cs_http_call_t *call, cs_http_end_t end, int status)
 {
-	static const char *const names[] = {"append", "join", "open", "close", "stage", "probe"};
+	static const char *const names[] = {
+		[CS_FORM_JOIN] = "join",   [CS_FORM_OPEN] = "open",   [CS_FORM_CLOSE] = "close",
+		[CS_FORM_STAGE] = "stage", [CS_FORM_PROBE] = "probe",
+	};
 	order_t *o = call->data;
 	if (end != CS_HTTP_CANCELLED)
 		cs_log_event ("former", "answered",
