fleet: look for a group's members under its epoch, not in the whole fleet

Each refresh of targets walked the whole list once for each open head, up to five times a second on every daemon. At the size to grow into (8,900 back ends, 2,225 groups of four) a pass took 193 ms of a core; with an index by epoch it takes 0.8 ms (one run of each, on one machine beside other work).

--- a/packages/decide/include/cs/fleet.h
+++ b/packages/decide/include/cs/fleet.h
@@ -50,13 +50,24 @@
 bool cs_backend_same (const cs_backend_t *a, const cs_backend_t *b);
 const char *cs_member_state_name (cs_member_state_t state);
 
-typedef struct {
+typedef struct cs_fleet_entry cs_fleet_entry_t;
+
+struct cs_fleet_entry {
 	cs_backend_t *now;
 	int64_t listed_ms; /* when this life of it was listed */
 	int64_t said_ms;   /* when this daemon read it */
 	int64_t lapsed_ms; /* its entry went while the list had just come back; 0: listed */
+	cs_fleet_entry_t *prev, *next; /* others of the same epoch */
+	UT_hash_handle hh;
+};
+
+/* Back ends that say to be members under one epoch, so that the wholeness of each group is
+ * not looked for in the whole fleet. */
+typedef struct {
+	uint64_t epoch;
+	cs_fleet_entry_t *members;
 	UT_hash_handle hh;
-} cs_fleet_entry_t;
+} cs_fleet_epoch_t;
 
 /* A group that was seen whole: who its members are. */
 typedef struct {
@@ -70,6 +81,7 @@
 typedef struct {
 	cs_fleet_group_t *groups;  /* uthash by head: those that were seen whole */
 	cs_fleet_entry_t *entries; /* uthash by id */
+	cs_fleet_epoch_t *epochs;  /* uthash by epoch */
 	int64_t back_ms;           /* when the list was last reached again after a failure */
 	bool away;                 /* the last reading of the list failed */
 } cs_fleet_t;
--- a/packages/decide/src/fleet.c
+++ b/packages/decide/src/fleet.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <utlist.h>
 
 static void
 drop (cs_ref_t *ref)
@@ -54,9 +55,41 @@
 	memset (f, 0, sizeof *f);
 }
 
+static cs_fleet_epoch_t *
+find_epoch (const cs_fleet_t *f, uint64_t epoch)
+{
+	cs_fleet_epoch_t *x;
+	HASH_FIND (hh, f->epochs, &epoch, sizeof epoch, x);
+	return x;
+}
+
+static void
+link_epoch (cs_fleet_t *f, cs_fleet_entry_t *e)
+{
+	cs_fleet_epoch_t *x = find_epoch (f, e->now->epoch);
+	if (!x) {
+		x = cs_alloc (sizeof *x);
+		x->epoch = e->now->epoch;
+		HASH_ADD (hh, f->epochs, epoch, sizeof x->epoch, x);
+	}
+	DL_APPEND (x->members, e);
+}
+
+static void
+unlink_epoch (cs_fleet_t *f, cs_fleet_entry_t *e)
+{
+	cs_fleet_epoch_t *x = find_epoch (f, e->now->epoch);
+	DL_DELETE (x->members, e);
+	if (x->members)
+		return;
+	HASH_DEL (f->epochs, x);
+	free (x);
+}
+
 static void
 discard (cs_fleet_t *f, cs_fleet_entry_t *e)
 {
+	unlink_epoch (f, e);
 	HASH_DEL (f->entries, e);
 	cs_ref_put (&e->now->ref);
 	free (e);
@@ -71,6 +104,7 @@
 	bool same_life = e && e->now->born == b->born;
 	if (e) {
 		/* The entry's key is a string of its back end. */
+		unlink_epoch (f, e);
 		HASH_DEL (f->entries, e);
 		cs_ref_put (&e->now->ref);
 	} else {
@@ -82,6 +116,7 @@
 		e->listed_ms = now_ms;
 	e->lapsed_ms = 0;
 	HASH_ADD_KEYPTR (hh, f->entries, b->id, strlen (b->id), e);
+	link_epoch (f, e);
 	return !same;
 }
 
@@ -155,6 +190,14 @@
 	       !strcmp (b->group, head->group) && !strcmp (b->service, head->service);
 }
 
+/* Back ends under the head's epoch. */
+static const cs_fleet_entry_t *
+listed_under (const cs_fleet_t *f, const cs_backend_t *head)
+{
+	const cs_fleet_epoch_t *x = find_epoch (f, head->epoch);
+	return x ? x->members : NULL;
+}
+
 static cs_fleet_group_t *
 find_group (const cs_fleet_t *f, const cs_backend_t *head)
 {
@@ -187,7 +230,7 @@
 	g->head = cs_str_dup (cs_str (head->id));
 	g->epoch = head->epoch;
 	g->members = cs_alloc (size * sizeof *g->members);
-	for (const cs_fleet_entry_t *e = f->entries; e && g->n < size; e = e->hh.next)
+	for (const cs_fleet_entry_t *e = listed_under (f, head); e && g->n < size; e = e->next)
 		if (in_group (e->now, head))
 			g->members[g->n++] = cs_str_dup (cs_str (e->now->id));
 	HASH_ADD_KEYPTR (hh, f->groups, g->head, strlen (g->head), g);
@@ -212,7 +255,7 @@
 count_members (const cs_fleet_t *f, const cs_backend_t *head)
 {
 	uint32_t n = 0;
-	for (const cs_fleet_entry_t *e = f->entries; e; e = e->hh.next)
+	for (const cs_fleet_entry_t *e = listed_under (f, head); e; e = e->next)
 		n += in_group (e->now, head);
 	return n;
 }
