--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -58,7 +58,7 @@
 	int status;
 	char *content_type;
 	cs_httpd_outbox_t outbox;
-	bool paused;    /* the back end has been asked to wait */
+	bool paused; /* the back end has been asked to wait */
 	bool ended;
 	bool complete;
 	int64_t first_byte_us;
