Settings are read again on SIGHUP and when their file changes

Bounds hold at once in the running daemon, addresses from its next start, and a faulty file changes nothing; the line of the reload says which. Until now a reload was only reported.

--- a/packages/daemon/main/hosted.c
+++ b/packages/daemon/main/hosted.c
@@ -14,11 +14,15 @@
 #include "cs/log.h"
 #include "cs/platform.h"
 
+static const double settings_poll_s = 2.; /* for a change that no signal tells */
+
 typedef struct {
 	cs_kernel_t kernel;
+	cs_host_t *host;
 	ev_signal terminate;
 	ev_signal interrupt;
 	ev_signal reload;
+	ev_stat settings;
 } hosted_t;
 
 static bool
@@ -32,6 +36,13 @@
 	return status == CS_OK;
 }
 
+static void
+send_all (hosted_t *d, int kind)
+{
+	for (cs_task_t *t = d->kernel.tasks; t; t = t->next)
+		cs_send (NULL, t, cs_msg_new (sizeof (cs_msg_t), kind, cs_msg_free));
+}
+
 static void
 on_stop (struct ev_loop *loop, ev_signal *w, int events)
 {
@@ -39,28 +50,40 @@
 	(void)loop;
 	(void)events;
 	cs_log_event ("daemon", "stopping", "signal=%d", w->signum);
-	for (cs_task_t *t = d->kernel.tasks; t; t = t->next)
-		cs_send (NULL, t, cs_msg_new (sizeof (cs_msg_t), CS_HOST_STOP, cs_msg_free));
+	send_all (d, CS_HOST_STOP);
 }
 
-/* Addresses and bounds hold for the life of a process: what changed is only reported. */
+/* Takes over what may change in a running daemon. Faulty settings change nothing. */
 static void
-on_reload (struct ev_loop *loop, ev_signal *w, int events)
+reload (hosted_t *d, const char *cause)
 {
-	hosted_t *d = w->data;
-	const cs_host_t *now = d->kernel.settings;
 	cs_host_t next;
-	cs_buf_t faults;
+	cs_buf_t text;
+	cs_buf_init (&text);
+	bool sound = load (&next, cs_platform_settings_path (), &text);
+	bool differs = sound && cs_host_adopt (d->host, &next, &text);
+	cs_log_event ("daemon", "reloaded", "cause=%s sound=%d changes=\"%.300s\"", cause, sound,
+		      text.n ? text.p : "");
+	if (differs)
+		send_all (d, CS_HOST_BOUNDS);
+	cs_platform_settings_finish (&next);
+	cs_buf_finish (&text);
+}
+
+static void
+on_reload (struct ev_loop *loop, ev_signal *w, int events)
+{
 	(void)loop;
 	(void)events;
-	cs_buf_init (&faults);
-	bool sound = load (&next, cs_platform_settings_path (), &faults);
-	bool same = sound && !strcmp (now->store_address, next.store_address) &&
-		    !strcmp (now->listen_callers, next.listen_callers);
-	cs_log_event ("daemon", "reloaded", "sound=%d addresses_same=%d faults=\"%.200s\"", sound,
-		      same, faults.p ? faults.p : "");
-	cs_platform_settings_finish (&next);
-	cs_buf_finish (&faults);
+	reload (w->data, "signal");
+}
+
+static void
+on_changed (struct ev_loop *loop, ev_stat *w, int events)
+{
+	(void)loop;
+	(void)events;
+	reload (w->data, "file");
 }
 
 static void
@@ -82,7 +105,7 @@
 }
 
 static int
-serve (const cs_host_t *h)
+serve (cs_host_t *h)
 {
 	hosted_t d;
 	int result = 0;
@@ -91,10 +114,14 @@
 	signal (SIGPIPE, SIG_IGN);
 	unblock (STDOUT_FILENO);
 	cs_kernel_init (&d.kernel, h);
+	d.host = h;
 	d.kernel.profile = CS_PROFILE_HOSTED;
 	watch_signal (&d, &d.terminate, SIGTERM, on_stop);
 	watch_signal (&d, &d.interrupt, SIGINT, on_stop);
 	watch_signal (&d, &d.reload, SIGHUP, on_reload);
+	ev_stat_init (&d.settings, on_changed, cs_platform_settings_path (), settings_poll_s);
+	d.settings.data = &d;
+	ev_stat_start (d.kernel.loop, &d.settings);
 	if (cs_log_init (h->name, CS_LOG_INFO, STDOUT_FILENO) != CS_OK ||
 	    cs_kernel_start (&d.kernel) != CS_OK) {
 		fprintf (stderr, "cornelspindled: %s\n", cs_last_message ());
--- a/packages/host/include/cs/host.h
+++ b/packages/host/include/cs/host.h
@@ -80,4 +80,9 @@
 	bool first_start; /* the whole system starts for the first time */
 } cs_host_t;
 
+/* Takes over the bounds of newer settings: heartbeat_ms, grace_ms, lease_min_ms and
+ * retry_ratio. Appends "NAME=OLD->NEW " for each that changed, and "NAME=restart " for each
+ * other field that differs, which holds from the next start. False if nothing differs. */
+bool cs_host_adopt (cs_host_t *now, const cs_host_t *next, cs_buf_t *changes);
+
 #endif
--- a/packages/host/include/cs/host_messages.h
+++ b/packages/host/include/cs/host_messages.h
@@ -8,7 +8,7 @@
  *   former -> store            PROPOSE
  *   forward, former <-> store  NOTE, through the store to all daemons
  *   forward -> former          TRAFFIC
- *   main   -> all              STOP */
+ *   main   -> all              STOP, BOUNDS */
 #ifndef CS_HOST_MESSAGES_H
 #define CS_HOST_MESSAGES_H
 
@@ -27,6 +27,7 @@
 	CS_HOST_PROPOSED,
 	CS_HOST_NOTE,    /* cs_ledger_msg_t: a packed Note; `offset` is its place in the topic */
 	CS_HOST_TRAFFIC, /* a caller's first request has come */
+	CS_HOST_BOUNDS,  /* bounds of the kernel's settings have changed */
 	CS_HOST_STOP
 } cs_host_msg_kind_t;
 
