formation: a look at a head counts only once every open order must have shown

The doubt is judged at the time of the look now, and counts from when the acceptance was read. Only answers of the last 1.2 s show the way to a group now.

Ruled out: a fault of the test's fleet (each step stands in the protocol).

--- a/packages/decide/include/cs/formation.h
+++ b/packages/decide/include/cs/formation.h
@@ -52,6 +52,7 @@
 	int64_t made_ms;      /* when this planner learned of it */
 	int64_t opened_ms;    /* when the last open order was sent; 0: never */
 	bool open_unanswered; /* it has had no answer yet */
+	int64_t accepted_ms;  /* when the head's acceptance of it was read; 0: never */
 	int64_t doubt_ms;     /* when an open order was sent last that had no answer, or might have
 			       * been by a planner before; it may still be on its way; 0: never */
 	int64_t closed_since_ms; /* since when probes show a head that does not serve and took no
@@ -74,7 +75,7 @@
 	bool *missing;        /* by member: it was unlisted at the last plan */
 	uint32_t *silent;     /* by member: probes in a row that it did not answer */
 	int64_t asked_ms;     /* when daemons were asked about the head; 0: not yet */
-	bool *answered;       /* by member: it answered its last probe */
+	int64_t *answered_ms; /* by member: when it answered its last probe; 0: it didn't */
 	bool head_serves;     /* its last probe said that it is open, or closing */
 	bool head_ended;      /* nothing of it runs at its address any more */
 	int64_t *joined_ms;   /* by member: when the last join order was sent; 0: never */
@@ -154,7 +155,7 @@
 /* Where the back end was listed last; NULL: not known. */
 const char *cs_formation_address (const cs_formation_t *f, const char *id);
 /* An open order was answered; one that was refused had no effect. */
-void cs_formation_opened (cs_formation_t *f, uint64_t epoch, bool accepted);
+void cs_formation_opened (cs_formation_t *f, int64_t now_ms, uint64_t epoch, bool accepted);
 /* A daemon has noticed that the group doesn't answer: its members are probed. */
 void cs_formation_suspect (cs_formation_t *f, int64_t now_ms, uint64_t epoch);
 
--- a/packages/decide/src/formation.c
+++ b/packages/decide/src/formation.c
@@ -17,7 +17,7 @@
 	b->missing = cs_alloc (n * sizeof *b->missing);
 	b->missing_ms = cs_alloc (n * sizeof *b->missing_ms);
 	b->silent = cs_alloc (n * sizeof *b->silent);
-	b->answered = cs_alloc (n * sizeof *b->answered);
+	b->answered_ms = cs_alloc (n * sizeof *b->answered_ms);
 	b->n = n;
 	for (size_t i = 0; i < n; i++)
 		b->members[i] = cs_str_dup (cs_str (members[i]));
@@ -34,7 +34,7 @@
 	free (b->missing);
 	free (b->missing_ms);
 	free (b->silent);
-	free (b->answered);
+	free (b->answered_ms);
 	free (b->name);
 	free (b->service);
 	free (b->model);
@@ -260,7 +260,7 @@
 }
 
 void
-cs_formation_opened (cs_formation_t *f, uint64_t epoch, bool accepted)
+cs_formation_opened (cs_formation_t *f, int64_t now_ms, uint64_t epoch, bool accepted)
 {
 	cs_band_t *b;
 	HASH_FIND (hh, f->bands, &epoch, sizeof epoch, b);
@@ -269,6 +269,8 @@
 	b->open_unanswered = false;
 	/* A refused order had no effect, but an earlier one may have had. */
 	b->opened |= accepted;
+	if (accepted)
+		b->accepted_ms = now_ms;
 }
 
 void
@@ -313,14 +315,24 @@
 	return i;
 }
 
+/* When a head that took the last open order serves at the latest; 0: none was sent. */
+static int64_t
+opening_until_ms (const cs_band_t *b)
+{
+	int64_t taken_ms = b->accepted_ms > b->opened_ms ? b->accepted_ms : b->opened_ms;
+	return taken_ms ? taken_ms + CS_FORMATION_OPENING_MS : 0;
+}
+
 bool
-cs_band_in_doubt (const cs_formation_t *f, int64_t now_ms, const cs_band_t *b)
+cs_band_in_doubt (const cs_formation_t *f, int64_t at_ms, const cs_band_t *b)
 {
 	if (f->disabled & CS_FORMATION_NO_LATE_OPENS)
 		return false;
-	if (b->open_unanswered || now_ms - b->opened_ms < CS_FORMATION_OPENING_MS)
+	if (at_ms < opening_until_ms (b))
+		return true;
+	if (b->open_unanswered && at_ms - b->opened_ms < CS_FORMATION_ORDER_LATE_MS)
 		return true;
-	return b->doubt_ms && now_ms - b->doubt_ms < CS_FORMATION_ORDER_LATE_MS;
+	return b->doubt_ms && at_ms - b->doubt_ms < CS_FORMATION_ORDER_LATE_MS;
 }
 
 static void
@@ -354,7 +366,7 @@
 	if (!b || i == b->n)
 		return;
 	b->silent[i] = result == CS_PROBE_SILENT ? b->silent[i] + 1 : 0;
-	b->answered[i] = result != CS_PROBE_SILENT;
+	b->answered_ms[i] = result != CS_PROBE_SILENT ? now_ms : 0;
 	if (result == CS_PROBE_ENDED || b->silent[i] >= CS_FORMATION_SILENT_PROBES)
 		note_down (f, now_ms, id);
 	bool closed =
--- a/packages/decide/src/formation_impl.h
+++ b/packages/decide/src/formation_impl.h
@@ -38,13 +38,13 @@
 cs_form_action_t *cs_formation_act (cs_formation_t *f, cs_form_kind_t kind, const char *reason);
 /* True if the back end reports itself a ready member of the group. */
 bool cs_band_has_ready (const cs_band_t *b, const cs_backend_t *member);
-/* True if a member besides the head answered its last probe: the head's silence is its
+/* True if a member besides the head has answered a probe just now: the head's silence is its
  * own, not that of the way to the group. */
-bool cs_band_others_answer (const cs_band_t *b);
+bool cs_band_others_answer (const cs_form_view_t *v, const cs_band_t *b);
 /* True if probes show, now and for long enough, that the head is closed. */
 bool cs_band_is_checked (const cs_form_view_t *v, const cs_band_t *b);
-/* True if an open order may still be on its way to the head. */
-bool cs_band_in_doubt (const cs_formation_t *f, int64_t now_ms, const cs_band_t *b);
+/* True if an open order may still have been on its way to the head then. */
+bool cs_band_in_doubt (const cs_formation_t *f, int64_t at_ms, const cs_band_t *b);
 /* Brings what is known of the groups up to date by the fleet's reports. */
 void cs_formation_watch (cs_form_view_t *v);
 /* Orders for the groups that exist: join, open, close, probe. */
--- a/packages/decide/src/formation_tend.c
+++ b/packages/decide/src/formation_tend.c
@@ -219,7 +219,7 @@
 		if (!i || cs_fleet_find (v->fleet, b->members[i]))
 			probe (v, b, i, "the head is unlisted");
 	if (b->asked_ms || b->silent[0] < CS_FORMATION_SILENT_PROBES ||
-	    !cs_band_others_answer (b) || v->now_ms - b->relisted_ms < RELISTED_MS)
+	    !cs_band_others_answer (v, b) || v->now_ms - b->relisted_ms < RELISTED_MS)
 		return;
 	b->asked_ms = v->now_ms;
 	cs_form_action_t *a = cs_formation_act (v->f, CS_FORM_ASK, "the head is unlisted");
--- a/packages/decide/src/formation_watch.c
+++ b/packages/decide/src/formation_watch.c
@@ -7,6 +7,7 @@
 enum {
 	MAX_ADOPTED = 64,          /* members of a group that the ledger no longer names */
 	UNLISTED_PROBED_MS = 1500, /* by then two probes have shown what an unlisted member does */
+	ANSWERED_MS = 1200,        /* an answer shows the way to a group for two probes more */
 	CHECKED_MS = 1000,         /* a look at a head is fresh for so long */
 	RELISTED_MS = 2500         /* after a cut, entries are back within 2 s of the first one */
 };
@@ -57,7 +58,7 @@
 		return false;
 	if (!b->missing_ms[i])
 		b->missing_ms[i] = v->now_ms;
-	if (b->answered[i])
+	if (b->answered_ms[i])
 		return true;
 	return b->silent[i] < CS_FORMATION_SILENT_PROBES &&
 	       v->now_ms - b->missing_ms[i] < UNLISTED_PROBED_MS;
@@ -84,10 +85,10 @@
 }
 
 bool
-cs_band_others_answer (const cs_band_t *b)
+cs_band_others_answer (const cs_form_view_t *v, const cs_band_t *b)
 {
 	for (size_t i = 1; i < b->n; i++)
-		if (b->answered[i])
+		if (b->answered_ms[i] && v->now_ms - b->answered_ms[i] < ANSWERED_MS)
 			return true;
 	return false;
 }
@@ -97,7 +98,10 @@
 static bool
 is_reached (const cs_band_t *b)
 {
-	return b->answered[0] || cs_band_others_answer (b);
+	for (size_t i = 0; i < b->n; i++)
+		if (b->answered_ms[i])
+			return true;
+	return false;
 }
 
 /* A member drains, is down, or has left what may be an open group. */
@@ -131,7 +135,7 @@
 	if (!b->closed_since_ms || v->now_ms - b->checked_ms >= CHECKED_MS)
 		return false;
 	/* An order that was on its way may have been taken, and not have shown yet. */
-	return !cs_band_in_doubt (v->f, v->now_ms, b) ||
+	return !cs_band_in_doubt (v->f, b->checked_ms, b) ||
 	       b->checked_ms - b->closed_since_ms >= CS_FORMATION_OPENING_MS;
 }
 
@@ -144,11 +148,12 @@
 		return true;
 	if (head && head->epoch > b->epoch)
 		return true;
-	if (!head && !b->answered[0])
-		return cs_band_others_answer (b) &&
+	if (!head && !b->answered_ms[0])
+		return cs_band_others_answer (v, b) &&
 		       ((b->asked_ms && v->now_ms - b->asked_ms >= CS_FORMATION_ASKED_MS) ||
 			v->now_ms - b->head_missing_ms >= CS_FORMATION_HEAD_GONE_MS);
-	return cs_band_is_checked (v, b) && !cs_band_in_doubt (v->f, v->now_ms, b);
+	/* An order that was taken just before the look shows only after it. */
+	return cs_band_is_checked (v, b) && !cs_band_in_doubt (v->f, b->checked_ms, b);
 }
 
 static void
--- a/packages/decide/tests/invariant_formation.c
+++ b/packages/decide/tests/invariant_formation.c
@@ -168,7 +168,8 @@
 			ask (r, p, a->band->epoch, a->id);
 		else if (support_orders_send (&r->world, a, late, &accepted) &&
 			 a->kind == CS_FORM_OPEN)
-			cs_formation_opened (&p->formation, a->band->epoch, accepted);
+			cs_formation_opened (&p->formation, r->world.now_ms, a->band->epoch,
+					     accepted);
 	}
 	if (p->formation.n_proposed)
 		append (r, p, p->formation.proposed[0]);
--- a/packages/decide/tests/test_formation.c
+++ b/packages/decide/tests/test_formation.c
@@ -313,13 +313,66 @@
 	finish (&p);
 }
 
+/* A head that has taken an open order serves a moment later: a look at it before that
+ * doesn't show that its group is closed. */
+static void
+test_opening (void **state)
+{
+	static const struct {
+		int64_t answered_ms; /* after the open order was sent, which the head accepts */
+		int64_t probed_ms;   /* the head, unlisted meanwhile, says that it is ready */
+		int64_t planned_ms;
+		bool released;
+	} cases[] = {
+		{0, 200, 600, false},     {0, 200, 1100, false},    {0, 600, 700, true},
+		{900, 1000, 1100, false}, {900, 1300, 1450, false}, {900, 1500, 1600, true},
+	};
+	static const char *const members[] = {"a", "b"};
+	static const shown_t shown[] = {
+		{.id = "a", .model = "small", .group = "g", .epoch = 5, .state = CS_MEMBER_READY},
+		{.id = "b",
+		 .model = "small",
+		 .group = "g",
+		 .epoch = 5,
+		 .rank = 1,
+		 .state = CS_MEMBER_READY},
+		{.id = NULL}};
+	(void)state;
+	for (size_t i = 0; i < CS_COUNT (cases); i++) {
+		const uint64_t epoch = 5;
+		cs_band_t *b;
+		plan_t p;
+		init (&p, 0);
+		cs_formation_fold (&p.formation, LATER_MS, epoch, "g", "llm", "small", members, 2);
+		show (&p, LATER_MS, shown);
+		plan (&p, LATER_MS);
+		assert_int_equal (count (&p, CS_FORM_OPEN), 1);
+		cs_fleet_remove (&p.fleet, LATER_MS + 100, "a");
+		if (cases[i].answered_ms)
+			plan (&p, LATER_MS + cases[i].answered_ms);
+		cs_formation_opened (&p.formation, LATER_MS + cases[i].answered_ms, epoch, true);
+		plan (&p, LATER_MS + cases[i].probed_ms);
+		for (size_t k = 0; k < 2; k++)
+			cs_formation_probed (&p.formation, LATER_MS + cases[i].probed_ms, epoch,
+					     members[k], CS_PROBE_MEMBER, CS_MEMBER_READY, 2);
+		plan (&p, LATER_MS + cases[i].planned_ms);
+		HASH_FIND (hh, p.formation.bands, &epoch, sizeof epoch, b);
+		print_message ("answered %lld, probed %lld, planned %lld\n",
+			       (long long)cases[i].answered_ms, (long long)cases[i].probed_ms,
+			       (long long)cases[i].planned_ms);
+		assert_true (!b || b->lost);
+		assert_int_equal (!b || b->released, cases[i].released);
+		finish (&p);
+	}
+}
+
 int
 main (void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test (test_choice),   cmocka_unit_test (test_orders),
 		cmocka_unit_test (test_takeover), cmocka_unit_test (test_better),
-		cmocka_unit_test (test_staging),
+		cmocka_unit_test (test_staging),  cmocka_unit_test (test_opening),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- /dev/null
+++ b/packages/decide/tests/test_tenure.c
@@ -0,0 +1,62 @@
+/* When a planner that renews its turn goes on, and when it begins anew. */
+#include "cs/tenure.h"
+#include "cs_test.h"
+
+enum {
+	LEASE_MS = 1000,
+	STEPS = 4
+};
+
+typedef struct {
+	int64_t asked_ms;
+	int64_t answered_ms; /* 0: end of the row */
+	bool held;
+	uint64_t generation;
+	cs_tenure_step_t step;
+} renewal_t;
+
+static const struct {
+	const char *name;
+	renewal_t renewals[STEPS + 1];
+} cases[] = {
+	{"a first turn", {{0, 10, true, 1, CS_TENURE_NEW}}},
+	{"renewed in time", {{0, 10, true, 1, CS_TENURE_NEW}, {300, 310, true, 1, CS_TENURE_ON}}},
+	{"renewed in time while others come and go",
+	 {{0, 10, true, 1, CS_TENURE_NEW}, {300, 310, true, 7, CS_TENURE_ON}}},
+	{"answered late, nobody else had it",
+	 {{0, 10, true, 1, CS_TENURE_NEW},
+	  {300, 900, true, 1, CS_TENURE_ON},
+	  {950, 960, true, 1, CS_TENURE_ON}}},
+	{"answered late, others came or went",
+	 {{0, 10, true, 1, CS_TENURE_NEW},
+	  {300, 800, true, 2, CS_TENURE_NEW},
+	  {850, 860, true, 2, CS_TENURE_ON}}},
+	{"lost and regained",
+	 {{0, 10, true, 1, CS_TENURE_NEW},
+	  {300, 310, false, 2, CS_TENURE_NONE},
+	  {600, 610, false, 2, CS_TENURE_NONE},
+	  {900, 910, true, 2, CS_TENURE_NEW}}},
+};
+
+static void
+test_renewals (void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < CS_COUNT (cases); i++) {
+		cs_tenure_t t = {.held = false};
+		print_message ("%s\n", cases[i].name);
+		for (const renewal_t *r = cases[i].renewals; r->answered_ms; r++) {
+			assert_int_equal (cs_tenure_renewed (&t, r->answered_ms, r->asked_ms,
+							     LEASE_MS, r->held, r->generation),
+					  r->step);
+			assert_int_equal (t.until_ms, r->asked_ms + 800);
+		}
+	}
+}
+
+int
+main (void)
+{
+	const struct CMUnitTest tests[] = {cmocka_unit_test (test_renewals)};
+	return cmocka_run_group_tests (tests, NULL, NULL);
+}
