former: a turn that lapses goes on, or reads the ledger from its start

Cause of the empty starts of the grown sites: renewals are answered late while 130 daemons start, so that the planner's lease lapsed for a moment after it had formed the first groups. It then began anew, but the ledger was read on from where it stood: the planner knew none of its groups, took them for groups of an expired ledger, and neither joined nor opened them. All groups of eight stayed ready and closed for 14 s and more.

Now the turn goes on if the generation shows that nobody else can have had it (decide/tenure), and else the ledger is read from its start. New lines say what keeps the planner from planning and when renewals fail; without them the cause could not be seen.

--- a/packages/former/src/former.c
+++ b/packages/former/src/former.c
@@ -98,13 +98,44 @@
 	cs__note__free_unpacked (note, NULL);
 }
 
+/* What keeps this daemon from planning; NULL: nothing. */
+static const char *
+obstacle (const cs_former_t *f, int64_t now)
+{
+	if (!f->turn_until_ms)
+		return "no-turn";
+	if (now >= f->turn_until_ms)
+		return "turn-not-renewed";
+	if (!f->serving)
+		return "no-configuration";
+	if (f->appending)
+		return "append-unanswered";
+	if (!f->ledger_read)
+		return "ledger-unread";
+	return f->fleet.away ? "list-away" : NULL;
+}
+
+static void
+note_obstacle (cs_former_t *f, const char *now)
+{
+	if (now == f->obstacle)
+		return;
+	if (now)
+		cs_log_event ("former", "waits", "reason=%s ledger_end=%" PRIu64, now,
+			      f->ledger_end);
+	else
+		cs_log_event ("former", "plans", "ledger_end=%" PRIu64 " groups=%u", f->ledger_end,
+			      (unsigned)HASH_COUNT (f->formation.bands));
+	f->obstacle = now;
+}
+
 static void
 plan (cs_former_t *f)
 {
 	int64_t now = cs_now_ms ();
-	bool ready = f->serving && f->ledger_read && !f->appending && !f->fleet.away;
 	cs_fleet_tick (&f->fleet, now);
-	if (!ready || now >= f->turn_until_ms)
+	note_obstacle (f, obstacle (f, now));
+	if (f->obstacle)
 		return;
 	cs_formation_plan (&f->formation, now, &f->fleet, f->serving);
 	for (size_t i = 0; i < f->formation.n_actions; i++)
@@ -127,7 +158,7 @@
 		f->turn_until_ms = 0;
 		return;
 	}
-	if (!f->turn_until_ms || f->turn_until_ms < cs_now_ms ()) {
+	if (m->anew) {
 		cs_formation_begin (&f->formation, cs_now_ms (), f->eager_until_ms);
 		f->ledger_read = false;
 		f->appending = false;
@@ -151,6 +182,7 @@
 	cs_former_t *f = task->state;
 	f->task = task;
 	f->host = task->kernel->settings;
+	f->obstacle = obstacle (f, cs_now_ms ());
 	if (f->host->first_start)
 		f->eager_until_ms = cs_now_ms () + FIRST_LOADS_MS;
 	cs_fleet_init (&f->fleet);
@@ -214,7 +246,7 @@
 		cs_ref_put (&f->serving->ref);
 }
 
-static cs_plugin_t plugin = {
+cs_plugin_t cs_former_plugin = {
 	.name = "former",
 	.profile = CS_PROFILE_HOSTED,
 	.state_size = sizeof (cs_former_t),
@@ -227,5 +259,5 @@
 __attribute__ ((constructor)) static void
 enlist (void)
 {
-	cs_plugin_register (&plugin);
+	cs_plugin_register (&cs_former_plugin);
 }
--- a/packages/former/src/former.h
+++ b/packages/former/src/former.h
@@ -23,8 +23,11 @@
 	bool appending;         /* a proposal is on its way: plan nothing upon it */
 	uint64_t ledger_end;
 	uint64_t proposed_end; /* of the ledger once the proposal is in it */
+	const char *obstacle;  /* what kept it from planning at the last tick; NULL: nothing */
 } cs_former_t;
 
+extern cs_plugin_t cs_former_plugin;
+
 /* Sends the order or probe of the action. */
 void cs_former_send (cs_former_t *f, const cs_form_action_t *a);
 
--- a/packages/former/src/order.c
+++ b/packages/former/src/order.c
@@ -70,9 +70,9 @@
 			      names[o->kind], o->id, o->epoch, status, (int)end,
 			      o->reply.p && status != 200 ? o->reply.p : "");
 	if (o->kind == CS_FORM_OPEN && end == CS_HTTP_DONE)
-		cs_formation_opened (&o->former->formation, o->epoch, status < 300);
+		cs_formation_opened (&o->former->formation, cs_now_ms (), o->epoch, status < 300);
 	if (o->kind == CS_FORM_OPEN && end == CS_HTTP_NOT_SENT)
-		cs_formation_opened (&o->former->formation, o->epoch, false);
+		cs_formation_opened (&o->former->formation, cs_now_ms (), o->epoch, false);
 	if (o->kind == CS_FORM_PROBE)
 		end_probe (o, end, status);
 	cs_buf_finish (&o->url);
--- a/packages/host/include/cs/host_messages.h
+++ b/packages/host/include/cs/host_messages.h
@@ -48,6 +48,7 @@
 	cs_msg_t msg;
 	bool yes;
 	int64_t until_ms;
+	bool anew; /* TURN: another daemon may have planned; the ledger is read from its start */
 } cs_state_msg_t;
 
 /* LEDGER: a record, or (bytes.n 0) the end of the ledger was reached at `offset`.
