forward: what stands still is given up only where something can take over

All streams of a group pause together, so that a hundred were cancelled at once, the budget of repeats was spent at once, and the rest were cut though their group went on a moment later.

A pause makes the back end suspect, as before; the stream goes on elsewhere after three gaps, if a back end that was not tried takes it and the budget pays for it, and is waited for if not. Callers leave after eight gaps or 2 s at the earliest, and a stream that has paused is late either way.

--- /dev/null
+++ b/packages/decide/tests/test_notices.c
@@ -0,0 +1,46 @@
+/* How many notices a daemon gives while groups fall silent. */
+#include "cs/notices.h"
+#include "cs_test.h"
+
+enum {
+	START_MS = 500000
+};
+
+static const struct {
+	const char *name;
+	int64_t every_ms; /* a group falls silent */
+	int times;
+	int away_from, away_to; /* of these, while the store does not answer */
+	int given;
+} cases[] = {
+	{"single losses are all told", 3000, 20, 0, 0, 20},
+	{"a loss each second", 1000, 20, 0, 0, 20},
+	{"a domain goes dark", 0, 5, 0, 0, CS_NOTICES_BURST},
+	{"a zone is cut off for five seconds", 50, 100, 0, 0, CS_NOTICES_BURST + 4},
+	{"nothing is told while the store is away", 3000, 20, 5, 15, 10},
+	{"nor saved up for its return", 10, 100, 0, 90, CS_NOTICES_BURST},
+};
+
+static void
+test_given (void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < CS_COUNT (cases); i++) {
+		cs_notices_t n;
+		int given = 0;
+		cs_notices_init (&n);
+		for (int k = 0; k < cases[i].times; k++) {
+			bool away = k >= cases[i].away_from && k < cases[i].away_to;
+			given += cs_notices_take (&n, START_MS + k * cases[i].every_ms, away);
+		}
+		print_message ("%s: %d\n", cases[i].name, given);
+		assert_int_equal (given, cases[i].given);
+	}
+}
+
+int
+main (void)
+{
+	const struct CMUnitTest tests[] = {cmocka_unit_test (test_given)};
+	return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/packages/forward/src/dispatch.c
+++ b/packages/forward/src/dispatch.c
@@ -47,6 +47,14 @@
 	return status == CS_EXHAUSTED ? status : pick_from (c, &q, out);
 }
 
+bool
+cs_dispatch_has_other (cs_call_t *c, const char *service)
+{
+	cs_route_t chosen;
+	cs_targets_refresh (c->forward);
+	return pick (c, service, &chosen) == CS_OK;
+}
+
 void
 cs_dispatch_refuse (cs_call_t *c, const char *reason, uint32_t retry_after_ms)
 {
--- a/packages/forward/src/forward.c
+++ b/packages/forward/src/forward.c
@@ -69,6 +69,7 @@
 	cs_fleet_init (&f->fleet);
 	cs_suspects_init (&f->suspects);
 	cs_patience_init (&f->patience);
+	cs_notices_init (&f->notices);
 	cs_router_init (&f->router, &router);
 	cs_retry_init (&f->retry, &retry);
 	cs_rng_init (&f->rng, seed);
--- a/packages/forward/src/forward.h
+++ b/packages/forward/src/forward.h
@@ -12,6 +12,7 @@
 #include "cs/host_messages.h"
 #include "cs/http.h"
 #include "cs/httpd.h"
+#include "cs/notices.h"
 #include "cs/outcome.h"
 #include "cs/patience.h"
 #include "cs/retry.h"
@@ -41,6 +42,7 @@
 	cs_retry_t retry;
 	cs_suspects_t suspects;
 	cs_patience_t patience;
+	cs_notices_t notices;
 	cs_rng_t rng;
 	cs_call_t *calls;
 	uint64_t next_number;
@@ -85,11 +87,14 @@
 	cs_buf_t body; /* of an answer that is no stream, or a stream's bytes before its first event
 			*/
 	int status;
-	bool is_stream; /* the answer's events are passed on as they come */
-	bool stalled;   /* cancelled, as nothing came in time */
-	bool timed_out; /* cancelled, as the request's time is over */
-	bool bad;       /* the answer is none that could be passed on */
-	ev_timer bound; /* until which the next sign of progress must come */
+	bool is_stream;   /* the answer's events are passed on as they come */
+	bool warned;      /* it stands still for a while, and its back end is suspected */
+	bool granted;     /* another attempt may take its place, and is paid for */
+	int64_t delay_ms; /* before that one */
+	bool stalled;     /* cancelled, as nothing came in time */
+	bool timed_out;   /* cancelled, as the request's time is over */
+	bool bad;         /* the answer is none that could be passed on */
+	ev_timer bound;   /* until which the next sign of progress must come */
 	int64_t sent_us;
 	int64_t first_us; /* first event or byte of the answer; 0: none */
 	int64_t last_us;
@@ -164,6 +169,8 @@
 void cs_dispatch (cs_call_t *c);
 /* Sends one that waits to a back end; false if there is still no place. */
 bool cs_dispatch_waiting (cs_call_t *c, const char *service);
+/* True if a back end that was not tried takes the request now. */
+bool cs_dispatch_has_other (cs_call_t *c, const char *service);
 void cs_dispatch_refuse (cs_call_t *c, const char *reason, uint32_t retry_after_ms);
 /* queue.c */
 void cs_queue_init (cs_forward_t *f);
@@ -183,7 +190,12 @@
 void cs_sending_pause (cs_call_t *c, bool paused);
 /* Ends the attempt under way; nothing follows from it. */
 void cs_sending_abandon (cs_call_t *c);
-/* verdict.c: an attempt has ended; frees it. */
+/* verdict.c: nothing has come for a while; keeps others away from the back end. */
+void cs_verdict_suspect (const cs_sending_t *s);
+/* True if another attempt takes the place of one that stands still. If none can, the caller
+ * is better off with what may still come. */
+bool cs_verdict_gives_up (cs_sending_t *s);
+/* An attempt has ended; frees it. */
 void cs_verdict (cs_sending_t *s, const cs_attempt_t *result);
 /* reply.c */
 void cs_reply_own (cs_call_t *c, int status, const char *reason, uint32_t retry_after_ms);
--- a/packages/forward/src/notes.c
+++ b/packages/forward/src/notes.c
@@ -36,9 +36,11 @@
 	silent.head = head->id;
 	note.body_case = CS__NOTE__BODY_SILENT;
 	note.silent = &silent;
-	cs_log_event ("forward", "group_silent", "group=%s epoch=%llu head=%s", head->group,
-		      (unsigned long long)head->epoch, head->id);
-	give (f, &note);
+	bool told = cs_notices_take (&f->notices, cs_now_ms (), f->list_away);
+	cs_log_event ("forward", "group_silent", "group=%s epoch=%llu head=%s told=%d list_away=%d",
+		      head->group, (unsigned long long)head->epoch, head->id, told, f->list_away);
+	if (told)
+		give (f, &note);
 }
 
 static void
--- a/packages/forward/src/sending.c
+++ b/packages/forward/src/sending.c
@@ -14,6 +14,9 @@
 	LEAST_FIRST_PERCENT = 80, /* of the latency objective: a second attempt costs a back end
 				   * the whole prompt again, and most are still on time by then */
 	MIN_GAP_MS = 250,         /* and between events */
+	PATIENT_GAPS = 2,   /* more pauses until a stream goes on elsewhere: it is late by then,
+			     * and its caller leaves after eight of them at the earliest */
+	ASK_AGAIN_MS = 250, /* whether another attempt may take the place of one */
 	MAX_ANSWER_BYTES = 8 << 20,
 	HEADER_LINE_EXTRA = 64
 };
@@ -58,22 +61,44 @@
 	return ms < left ? ms : left;
 }
 
+/* No later than the request's time. */
 static void
 set_bound (cs_sending_t *s, int64_t ms)
 {
-	cs_timer_in (loop_of (s->call), &s->bound, ms);
+	int64_t left = s->call->timeout_ms - cs_now_ms ();
+	cs_timer_in (loop_of (s->call), &s->bound, ms < left ? ms : left);
+}
+
+/* A stream that stands still may well go on, and all of its group's streams stand still
+ * together: others are kept away first, and it is given up when that did not help. */
+static void
+on_silence (cs_sending_t *s, int64_t now)
+{
+	if (s->events && !s->warned) {
+		s->warned = true;
+		cs_verdict_suspect (s);
+		set_bound (s, PATIENT_GAPS * gap_bound (s->call, now));
+	} else if (cs_verdict_gives_up (s)) {
+		s->stalled = true;
+		cs_http_cancel (&s->http);
+	} else {
+		cs_verdict_suspect (s);
+		set_bound (s, ASK_AGAIN_MS);
+	}
 }
 
 static void
 on_bound (struct ev_loop *loop, ev_timer *w, int events)
 {
 	cs_sending_t *s = w->data;
+	int64_t now = cs_now_ms ();
 	(void)loop;
 	(void)events;
-	if (cs_now_ms () >= s->call->timeout_ms)
-		s->timed_out = true;
-	else
-		s->stalled = true;
+	if (now < s->call->timeout_ms) {
+		on_silence (s, now);
+		return;
+	}
+	s->timed_out = true;
 	cs_http_cancel (&s->http);
 }
 
@@ -208,6 +233,7 @@
 		cs_suspects_answered (&c->forward->suspects, s->last_us / 1000, s->target);
 		note_first (s, s->last_us);
 		s->events += c->events.tokens - before;
+		s->warned = false;
 		if (!c->has_head)
 			cs_reply_head (c, s->status, &s->answer);
 		set_bound (s, gap_bound (c, s->last_us / 1000));
--- a/packages/forward/src/verdict.c
+++ b/packages/forward/src/verdict.c
@@ -76,6 +76,25 @@
 	       CS_RETRY_NO;
 }
 
+void
+cs_verdict_suspect (const cs_sending_t *s)
+{
+	static const cs_attempt_t silent = {.end = CS_ATTEMPT_SILENT};
+	suspect (s, &silent, cs_now_ms ());
+}
+
+bool
+cs_verdict_gives_up (cs_sending_t *s)
+{
+	cs_call_t *c = s->call;
+	s->granted = cs_dispatch_has_other (c, s->service) && may_repeat (c, &s->delay_ms);
+	cs_log_event ("forward", s->granted ? "given_up" : "waits_on",
+		      "id=%.*s back_end=%s events=%u silent_ms=%lld", CS_STR_ARG (cs_call_id (c)),
+		      s->target, s->events,
+		      (long long)((cs_now_us () - (s->last_us ? s->last_us : s->sent_us)) / 1000));
+	return s->granted;
+}
+
 static void
 deliver (cs_sending_t *s, const cs_attempt_t *a)
 {
@@ -133,7 +152,7 @@
 cs_verdict (cs_sending_t *s, const cs_attempt_t *a)
 {
 	cs_call_t *c = s->call;
-	int64_t delay_ms = 0;
+	int64_t delay_ms = s->delay_ms;
 	learn (s, a);
 	cs_queue_ended (c->forward, s->service);
 	cs_counts_attempt (a);
@@ -145,7 +164,7 @@
 					    .reached_caller = c->has_head,
 					    .may_repeat = true};
 		cs_then_t then = cs_outcome_then (a, &state);
-		if ((then == CS_THEN_AGAIN || then == CS_THEN_RESUME) &&
+		if ((then == CS_THEN_AGAIN || then == CS_THEN_RESUME) && !s->granted &&
 		    !may_repeat (c, &delay_ms)) {
 			state.may_repeat = false;
 			then = cs_outcome_then (a, &state);
