--- a/packages/forward/tests/test_relay.c
+++ b/packages/forward/tests/test_relay.c
@@ -339,15 +339,15 @@
 	static const struct {
 		const char *name;
 		size_t back_ends;
-		int64_t pause_ms;
+		int64_t gaps; /* that the stream pauses for */
 		size_t asked;
 	} rows[] = {
-		{"a pause of more than a gap", 2, 2 * RELAY_GAP_MS, 1},
-		{"a long pause, and another back end", 2, 6 * RELAY_GAP_MS, 2},
-		{"a long pause, and no other back end", 1, 6 * RELAY_GAP_MS, 1},
+		{"a pause of more than a gap", 2, 2, 1},
+		{"a long pause, and another back end", 2, 6, 2},
+		{"a long pause, and no other back end", 1, 6, 1},
 	};
 	for (size_t i = 0; i < CS_COUNT (rows); i++) {
-		const step_t steps[] = {{EVENTS ONE, TWO THREE, true, rows[i].pause_ms},
+		const step_t steps[] = {{EVENTS ONE, TWO THREE, true, rows[i].gaps * RELAY_GAP_MS},
 					{EVENTS TWO THREE, NULL, true, 0}};
 		caller_t c;
 		relay_setup (state);
