--- a/packages/forward/src/forward.h
+++ b/packages/forward/src/forward.h
@@ -88,7 +88,7 @@
 			*/
 	int status;
 	bool is_stream;   /* the answer's events are passed on as they come */
-	bool warned;      /* it stands still for a while, and its back end is suspected */
+	bool suspected;   /* it stands still for a while, and its back end is suspected */
 	bool granted;     /* another attempt may take its place, and is paid for */
 	int64_t delay_ms; /* before that one */
 	bool stalled;     /* cancelled, as nothing came in time */
@@ -184,6 +184,8 @@
 void cs_targets_refresh (cs_forward_t *f);
 /* The router's name of what serves the model of a service. */
 void cs_targets_service (cs_buf_t *out, const char *service, cs_str_t model);
+/* outbound.c: makes the header lines of an attempt. */
+void cs_sending_headers (cs_sending_t *s, int64_t now_ms);
 /* sending.c */
 cs_status_t cs_sending_start (cs_call_t *c, const char *target, const char *service);
 /* Stops or resumes reading a stream whose caller is slow. */
--- a/packages/forward/src/reply.c
+++ b/packages/forward/src/reply.c
@@ -100,7 +100,7 @@
 cs_reply_body (cs_call_t *c, cs_str_t bytes)
 {
 	cs_httpd_outbox_add (&c->outbox, bytes);
-	if (!c->held && cs_httpd_outbox_size (&c->outbox) > FULL_BYTES)
+	if (cs_httpd_outbox_size (&c->outbox) > FULL_BYTES)
 		hold (c, true);
 	cs_reply_resume (c);
 }
--- a/packages/forward/src/sending.c
+++ b/packages/forward/src/sending.c
@@ -17,8 +17,7 @@
 	PATIENT_GAPS = 2,   /* more pauses until a stream goes on elsewhere: it is late by then,
 			     * and its caller leaves after eight of them at the earliest */
 	ASK_AGAIN_MS = 250, /* whether another attempt may take the place of one */
-	MAX_ANSWER_BYTES = 8 << 20,
-	HEADER_LINE_EXTRA = 64
+	MAX_ANSWER_BYTES = 8 << 20
 };
 
 static struct ev_loop *
@@ -31,7 +30,8 @@
 static bool
 may_follow (const cs_call_t *c)
 {
-	return cs_serving_repeatable (c->route) && c->runs + 1 < c->route->attempts;
+	return cs_serving_repeatable (c->route) && c->runs + 1 < c->route->attempts &&
+	       c->tries < CS_OUTCOME_MAX_TRIES;
 }
 
 /* Time until which the answer, or a stream's first event, must have come. */
@@ -74,8 +74,8 @@
 static void
 on_silence (cs_sending_t *s, int64_t now)
 {
-	if (s->events && !s->warned) {
-		s->warned = true;
+	if (s->events && !s->suspected) {
+		s->suspected = true;
 		cs_verdict_suspect (s);
 		set_bound (s, PATIENT_GAPS * gap_bound (s->call, now));
 	} else if (cs_verdict_gives_up (s)) {
@@ -102,71 +102,6 @@
 	cs_http_cancel (&s->http);
 }
 
-static void
-add_line (cs_sending_t *s, size_t *n, const char *name, cs_str_t value)
-{
-	cs_buf_printf (&s->lines, "%s: %.*s", name, CS_STR_ARG (value));
-	cs_buf_add (&s->lines, cs_str_n ("", 1));
-	(*n)++;
-}
-
-/* Headers that are set here and not taken from the caller. */
-static bool
-is_own_header (const cs_header_names_t *names, const char *name)
-{
-	const char *const own[] = {names->deadline, names->key, names->team,
-				   names->expected_backend};
-	for (size_t i = 0; i < sizeof own / sizeof *own; i++)
-		if (!strcasecmp (own[i], name))
-			return true;
-	return false;
-}
-
-static void
-add_callers_headers (cs_sending_t *s, size_t *n)
-{
-	const cs_call_t *c = s->call;
-	const cs_header_names_t *names = c->forward->names;
-	bool resumes = c->has_events && c->events.tokens;
-	for (size_t i = 0; i < c->headers.n; i++) {
-		const cs_header_t *h = &c->headers.items[i];
-		if (cs_header_is_hop (cs_str (h->name)) || is_own_header (names, h->name) ||
-		    (resumes && !strcasecmp (h->name, names->last_event_id)))
-			continue;
-		add_line (s, n, h->name, cs_str (h->value));
-	}
-	if (!cs_headers_find (&c->headers, "Accept").n) {
-		/* libcurl adds one that the caller did not send. */
-		cs_buf_addz (&s->lines, "Accept:");
-		cs_buf_add (&s->lines, cs_str_n ("", 1));
-		(*n)++;
-	}
-	if (resumes) {
-		char id[24];
-		snprintf (id, sizeof id, "%" PRIu64, c->events.next - 1);
-		add_line (s, n, names->last_event_id, cs_str (id));
-	}
-}
-
-static void
-make_headers (cs_sending_t *s, int64_t now)
-{
-	const cs_call_t *c = s->call;
-	const cs_header_names_t *names = c->forward->names;
-	char left[24];
-	size_t n = 0;
-	add_callers_headers (s, &n);
-	snprintf (left, sizeof left, "%" PRId64, c->timeout_ms - now);
-	add_line (s, &n, names->deadline, cs_str (left));
-	add_line (s, &n, names->expected_backend, cs_str (s->target));
-	if (c->team)
-		add_line (s, &n, names->team, cs_str (c->team->name));
-	s->headers = cs_alloc ((n + 1) * sizeof *s->headers);
-	const char *p = s->lines.p;
-	for (size_t i = 0; i < n; i++, p += strlen (p) + 1)
-		s->headers[i] = p;
-}
-
 static void
 on_header (cs_http_call_t *http, cs_str_t name, cs_str_t value)
 {
@@ -233,7 +168,7 @@
 		cs_suspects_answered (&c->forward->suspects, s->last_us / 1000, s->target);
 		note_first (s, s->last_us);
 		s->events += c->events.tokens - before;
-		s->warned = false;
+		s->suspected = false;
 		if (!c->has_head)
 			cs_reply_head (c, s->status, &s->answer);
 		set_bound (s, gap_bound (c, s->last_us / 1000));
@@ -364,7 +299,7 @@
 	ev_init (&s->bound, on_bound);
 	s->bound.data = s;
 	init_events (c);
-	make_headers (s, now);
+	cs_sending_headers (s, now);
 	init_http (s, b);
 	c->sending = s;
 	c->tried[c->tries++] = cs_str_dup (cs_str (b->id));
--- a/packages/forward/tests/support_relay.h
+++ b/packages/forward/tests/support_relay.h
@@ -8,7 +8,7 @@
 #include "support_server.h"
 
 enum {
-	RELAY_BACK_ENDS = 4,
+	RELAY_BACK_ENDS = 5, /* more than one request may try */
 	RELAY_MAX_STEPS = 5,
 	RELAY_MAX_BODY = 1024,
 	RELAY_TIMEOUT_MS = 2500, /* of every route */
