--- a/packages/decide/tests/test_formation.c
+++ b/packages/decide/tests/test_formation.c
@@ -10,7 +10,8 @@
 enum {
 	START_MS = 100000,
 	LATER_MS = START_MS + 20000, /* orders of a planner before can't be on their way */
-	SLOTS = 8
+	SLOTS = 8,
+	MOST_SERVERS = 256
 };
 
 /* One back end of domain "d" as the list shows it. */
@@ -366,6 +367,84 @@
 	}
 }
 
+/* Back ends "s0" and so on that were ordered to load some weights. */
+typedef struct {
+	bool loads[MOST_SERVERS][2]; /* by number and model */
+} ordered_t;
+
+/* Loads that the plan begins: joins without weights at hand, and staging. An order that is
+ * repeated begins none. */
+static uint32_t
+count_loads (plan_t *p, ordered_t *ordered)
+{
+	uint32_t n = 0;
+	for (size_t i = 0; i < p->formation.n_actions; i++) {
+		const cs_form_action_t *a = &p->formation.actions[i];
+		if (a->kind != CS_FORM_JOIN && a->kind != CS_FORM_STAGE)
+			continue;
+		bool *before = &ordered->loads[atoi (a->id + 1)][!strcmp (a->model, "small")];
+		n += !*before;
+		*before = true;
+	}
+	return n;
+}
+
+/* However many back ends come without weights, loads begin within the weight store's rate. */
+static void
+test_loads (void **state)
+{
+	enum {
+		STEP_MS = 200,
+		WINDOW_MS = 5000,
+		WINDOW = WINDOW_MS / STEP_MS,
+		STEPS = 3 * WINDOW,
+		/* the platform: a tenth more than the rate's, and three */
+		MOST = 4 * WINDOW_MS / 1000 * 11 / 10 + 3
+	};
+	static const struct {
+		const char *name;
+		int at_start, each_step; /* back ends that are listed */
+	} cases[] = {
+		{"a domain of empty back ends", 40, 0},
+		{"some come all the time", 0, 2},
+		{"both", 40, 2},
+	};
+	(void)state;
+	for (size_t i = 0; i < CS_COUNT (cases); i++) {
+		uint32_t loads[STEPS];
+		uint32_t most = 0;
+		int n = 0;
+		ordered_t ordered = {0};
+		plan_t p;
+		init (&p, 0.5);
+		for (int k = 0; k < STEPS; k++) {
+			int64_t now = LATER_MS + (int64_t)k * STEP_MS;
+			for (int m = k ? cases[i].each_step : cases[i].at_start; m; m--) {
+				char id[16];
+				snprintf (id, sizeof id, "s%d", n++);
+				const shown_t shown[] = {{.id = id}, {.id = NULL}};
+				show (&p, now, shown);
+			}
+			plan (&p, now);
+			loads[k] = count_loads (&p, &ordered);
+			for (size_t g = 0; g < p.formation.n_proposed; g++) {
+				const cs_band_t *b = p.formation.proposed[g];
+				cs_formation_fold (&p.formation, now, (uint64_t)k * 100 + g + 1,
+						   b->name, b->service, b->model,
+						   (const char *const *)b->members, b->n);
+			}
+			uint32_t sum = 0;
+			for (int w = k < WINDOW ? 0 : k - WINDOW + 1; w <= k; w++)
+				sum += loads[w];
+			most = sum > most ? sum : most;
+		}
+		print_message ("%s: %u loads in 5 s, %u allowed\n", cases[i].name, most, MOST);
+		assert_true (most > 0);
+		assert_true (most <= MOST);
+		finish (&p);
+	}
+}
+
 int
 main (void)
 {
@@ -373,6 +452,7 @@
 		cmocka_unit_test (test_choice),   cmocka_unit_test (test_orders),
 		cmocka_unit_test (test_takeover), cmocka_unit_test (test_better),
 		cmocka_unit_test (test_staging),  cmocka_unit_test (test_opening),
+		cmocka_unit_test (test_loads),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
 }
