--- a/packages/decide/include/cs/notices.h
+++ b/packages/decide/include/cs/notices.h
@@ -14,7 +14,7 @@
 
 typedef struct {
 	int64_t refilled_ms;
-	int64_t credit_ms; /* time saved up; one notice takes a second's PER_S-th */
+	double tokens;
 } cs_notices_t;
 
 void cs_notices_init (cs_notices_t *n);
--- a/packages/decide/include/cs/outcome.h
+++ b/packages/decide/include/cs/outcome.h
@@ -55,6 +55,8 @@
 		4 /* back ends asked for one request, most of which refused it unrun */
 };
 
+/* True if another attempt may follow one that may have run; may_repeat apart. */
+bool cs_outcome_may_follow (const cs_request_state_t *r);
 cs_run_t cs_outcome_run (const cs_attempt_t *a);
 cs_then_t cs_outcome_then (const cs_attempt_t *a, const cs_request_state_t *r);
 const char *cs_then_name (cs_then_t then);
--- a/packages/decide/src/formation.c
+++ b/packages/decide/src/formation.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "cs/bucket.h"
+
 cs_band_t *
 cs_band_new (uint64_t epoch, const char *name, const char *service, const char *model,
 	     const char *const *members, size_t n)
@@ -234,9 +236,7 @@
 	v->loading++;
 	if (v->now_ms < f->eager_until_ms)
 		return true;
-	f->load_tokens += rate * (double)(v->now_ms - f->loads_ms) / 1000.;
-	if (f->load_tokens > burst)
-		f->load_tokens = burst;
+	f->load_tokens = cs_bucket_refill (f->load_tokens, rate, v->now_ms - f->loads_ms, burst);
 	f->loads_ms = v->now_ms;
 	if (f->load_tokens < 1.)
 		return false;
--- a/packages/decide/src/outcome.c
+++ b/packages/decide/src/outcome.c
@@ -30,13 +30,18 @@
 	return a->is_signed && a->is_own ? CS_RUN_YES : CS_RUN_MAYBE;
 }
 
+bool
+cs_outcome_may_follow (const cs_request_state_t *r)
+{
+	return cs_serving_repeatable (r->route) && r->runs < r->route->attempts &&
+	       r->tries < CS_OUTCOME_MAX_TRIES;
+}
+
 static cs_then_t
 after_answer (const cs_attempt_t *a, const cs_request_state_t *r)
 {
 	bool failed = a->status >= STATUS_SERVER_ERROR;
-	bool again = failed && cs_serving_repeatable (r->route) && r->may_repeat &&
-		     r->runs < r->route->attempts && r->tries < CS_OUTCOME_MAX_TRIES &&
-		     !r->reached_caller;
+	bool again = failed && r->may_repeat && cs_outcome_may_follow (r) && !r->reached_caller;
 	return again ? CS_THEN_AGAIN : CS_THEN_DELIVER;
 }
 
@@ -44,14 +49,13 @@
 cs_outcome_then (const cs_attempt_t *a, const cs_request_state_t *r)
 {
 	cs_run_t run = cs_outcome_run (a);
-	bool repeatable = cs_serving_repeatable (r->route);
 	if (run == CS_RUN_YES)
 		return after_answer (a, r);
-	bool again = r->may_repeat && a->end != CS_ATTEMPT_TIMEOUT &&
-		     r->tries < CS_OUTCOME_MAX_TRIES &&
-		     (run == CS_RUN_NO || (repeatable && r->runs < r->route->attempts));
+	bool again =
+		r->may_repeat && a->end != CS_ATTEMPT_TIMEOUT &&
+		(run == CS_RUN_NO ? r->tries < CS_OUTCOME_MAX_TRIES : cs_outcome_may_follow (r));
 	if (r->reached_caller)
-		return again && repeatable ? CS_THEN_RESUME : CS_THEN_CUT;
+		return again && cs_serving_repeatable (r->route) ? CS_THEN_RESUME : CS_THEN_CUT;
 	if (again)
 		return CS_THEN_AGAIN;
 	if (run == CS_RUN_NO && !r->runs)
--- a/packages/decide/src/planner.c
+++ b/packages/decide/src/planner.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "cs/bucket.h"
+
 void
 cs_planner_options_init (cs_planner_options_t *options)
 {
@@ -61,13 +63,6 @@
 	memset (p, 0, sizeof *p);
 }
 
-static double
-refill (double tokens, uint32_t per_s, int64_t ms)
-{
-	tokens += per_s * (double)ms / 1000;
-	return tokens > per_s ? per_s : tokens;
-}
-
 /* After a pause all reports look old; they get time to come in again. */
 static void
 tick (cs_planner_t *p, int64_t now_ms)
@@ -77,8 +72,10 @@
 		p->last_ms = now_ms - 1000;
 	}
 	int64_t step = now_ms - p->last_ms;
-	p->append_tokens = refill (p->append_tokens, p->options.appends_per_s, step);
-	p->order_tokens = refill (p->order_tokens, p->options.orders_per_s, step);
+	p->append_tokens = cs_bucket_refill (p->append_tokens, p->options.appends_per_s, step,
+					     p->options.appends_per_s);
+	p->order_tokens = cs_bucket_refill (p->order_tokens, p->options.orders_per_s, step,
+					    p->options.orders_per_s);
 	p->last_ms = now_ms;
 	p->run++;
 }
--- a/packages/former/tests/test_former.c
+++ b/packages/former/tests/test_former.c
@@ -6,10 +6,11 @@
 #include "cs/record.pb-c.h"
 #include "cs_test.h"
 #include "former.h"
+#include "support_loop.h"
 
 enum {
 	LONG_MS = 60000,
-	TICK_S_PER_MS = 1000,
+	MS_PER_S = 1000,
 	TWO_TICKS_MS = 450, /* the task plans each 200 ms */
 	MOST_TICKS = 20     /* a planner that took over acts after 1.3 s */
 };
@@ -78,22 +79,10 @@
 				     .encode_order = encode_order,
 				     .decode_report = decode_report};
 
-static void
-on_turn (struct ev_loop *loop, ev_timer *w, int events)
-{
-	(void)w;
-	(void)events;
-	ev_break (loop, EVBREAK_ONE);
-}
-
 static void
 run (bench_t *b, int64_t ms)
 {
-	ev_timer t;
-	ev_timer_init (&t, on_turn, (double)ms / TICK_S_PER_MS, 0.);
-	ev_timer_start (b->kernel.loop, &t);
-	ev_run (b->kernel.loop, 0);
-	ev_timer_stop (b->kernel.loop, &t);
+	loop_run_for (b->kernel.loop, (double)ms / MS_PER_S);
 }
 
 static cs_serving_t *
--- a/packages/forward/src/sending.c
+++ b/packages/forward/src/sending.c
@@ -30,8 +30,9 @@
 static bool
 may_follow (const cs_call_t *c)
 {
-	return cs_serving_repeatable (c->route) && c->runs + 1 < c->route->attempts &&
-	       c->tries < CS_OUTCOME_MAX_TRIES;
+	const cs_request_state_t state = {
+		.route = c->route, .runs = c->runs + 1, .tries = c->tries};
+	return cs_outcome_may_follow (&state);
 }
 
 /* Time until which the answer, or a stream's first event, must have come. */
--- a/packages/forward/tests/support_relay.c
+++ b/packages/forward/tests/support_relay.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "cs_test.h"
+#include "support_loop.h"
 
 enum {
 	MORE_AFTER_MS = 50
@@ -231,30 +232,16 @@
 	cs_buf_clear (&r->requests);
 }
 
-static void
-on_turn (struct ev_loop *loop, ev_timer *w, int events)
-{
-	(void)w;
-	(void)events;
-	ev_break (loop, EVBREAK_ONE);
-}
-
 void
 relay_turn (relay_t *r, double s)
 {
-	ev_timer t;
-	ev_timer_init (&t, on_turn, s, 0.);
-	ev_timer_start (r->kernel.loop, &t);
-	ev_run (r->kernel.loop, 0);
-	ev_timer_stop (r->kernel.loop, &t);
+	loop_run_for (r->kernel.loop, s);
 }
 
 void
 relay_ask (relay_t *r, caller_t *c, const char *request)
 {
-	caller_open (c, r->kernel.loop, r->port);
-	caller_send (c, cs_str (request));
-	caller_run (c, r->kernel.loop);
+	caller_ask (c, r->kernel.loop, r->port, request);
 }
 
 /* By hand: the sanitizers' strstr looks at the whole rest each time. */
--- a/packages/gateway/tests/support_control.c
+++ b/packages/gateway/tests/support_control.c
@@ -6,6 +6,7 @@
 
 #include "cs/gateway.h"
 #include "cs_test.h"
+#include "support_loop.h"
 
 fake_t fake;
 
@@ -136,30 +137,16 @@
 	return 0;
 }
 
-static void
-on_tick (struct ev_loop *loop, ev_timer *w, int events)
-{
-	(void)w;
-	(void)events;
-	ev_break (loop, EVBREAK_ONE);
-}
-
 void
 turn (bench_t *b, double s)
 {
-	ev_timer t;
-	ev_timer_init (&t, on_tick, s, 0.);
-	ev_timer_start (b->kernel.loop, &t);
-	ev_run (b->kernel.loop, 0);
-	ev_timer_stop (b->kernel.loop, &t);
+	loop_run_for (b->kernel.loop, s);
 }
 
 void
 ask (bench_t *b, caller_t *c, const char *request)
 {
-	caller_open (c, b->kernel.loop, b->port);
-	caller_send (c, cs_str (request));
-	caller_run (c, b->kernel.loop);
+	caller_ask (c, b->kernel.loop, b->port, request);
 }
 
 bool
--- a/packages/http/tests/test_http.c
+++ b/packages/http/tests/test_http.c
@@ -5,6 +5,7 @@
 
 #include "cs/http.h"
 #include "cs_test.h"
+#include "support_loop.h"
 #include "support_server.h"
 
 enum {
@@ -285,24 +286,6 @@
 	finish (&s);
 }
 
-static void
-on_over (struct ev_loop *loop, ev_timer *w, int events)
-{
-	(void)w;
-	(void)events;
-	ev_break (loop, EVBREAK_ONE);
-}
-
-static void
-run_for (struct ev_loop *loop, double s)
-{
-	ev_timer t;
-	ev_timer_init (&t, on_over, s, 0.);
-	ev_timer_start (loop, &t);
-	ev_run (loop, 0);
-	ev_timer_stop (loop, &t);
-}
-
 /* A paused call gets no bytes and isn't silent; resumed it gets them all. */
 static void
 test_pause (void **state)
@@ -313,9 +296,9 @@
 	begin (&s, &b->http, "GET", b->server.url);
 	cs_http_start (&b->http, &s.call);
 	cs_http_pause (&s.call, true);
-	run_for (b->loop, IDLE_MS / 2000.);
+	loop_run_for (b->loop, IDLE_MS / 2000.);
 	canned_push (&b->server, "abcd");
-	run_for (b->loop, 2 * IDLE_MS / 1000.);
+	loop_run_for (b->loop, 2 * IDLE_MS / 1000.);
 	assert_int_equal (s.ends, 0);
 	assert_int_equal (s.body.n, 0);
 	cs_http_pause (&s.call, false);
--- a/packages/tracing/tests/test_tracing.c
+++ b/packages/tracing/tests/test_tracing.c
@@ -6,6 +6,7 @@
 #include "cs/trace.h"
 #include "cs/tracing.h"
 #include "cs_test.h"
+#include "support_loop.h"
 #include "support_server.h"
 
 enum {
@@ -42,23 +43,6 @@
 	}
 }
 
-static void
-on_end (struct ev_loop *loop, ev_timer *w, int events)
-{
-	(void)w;
-	(void)events;
-	ev_break (loop, EVBREAK_ONE);
-}
-
-static void
-run (struct ev_loop *loop, double seconds)
-{
-	ev_timer end;
-	ev_timer_init (&end, on_end, seconds, 0);
-	ev_timer_start (loop, &end);
-	ev_run (loop, 0);
-}
-
 static const struct {
 	const char *answer; /* NULL: none */
 	int spans;
@@ -96,7 +80,7 @@
 		int64_t dropped = count ("cs_spans_dropped_total");
 		end_spans (cases[i].spans);
 		for (int n = 0; n < TURNS && !is_over (&server, sent, dropped, i); n++)
-			run (k.loop, 0.1);
+			loop_run_for (k.loop, 0.1);
 		assert_int_equal (server.requests, 1);
 		assert_int_equal (count ("cs_spans_sent_total") - sent, cases[i].sent);
 		assert_int_equal (count ("cs_spans_dropped_total") - dropped, cases[i].dropped);
--- a/testing/support_caller.c
+++ b/testing/support_caller.c
@@ -62,6 +62,14 @@
 	assert_true (c->closed);
 }
 
+void
+caller_ask (caller_t *c, struct ev_loop *loop, uint16_t port, const char *request)
+{
+	caller_open (c, loop, port);
+	caller_send (c, cs_str (request));
+	caller_run (c, loop);
+}
+
 void
 caller_close (caller_t *c, struct ev_loop *loop)
 {
--- a/testing/support_caller.h
+++ b/testing/support_caller.h
@@ -17,6 +17,8 @@
 void caller_send (caller_t *c, cs_str_t bytes);
 /* Runs the loop until the gateway closes the connection; it must within 5 s. */
 void caller_run (caller_t *c, struct ev_loop *loop);
+/* Opens a connection, sends the request and runs the loop until it is closed. */
+void caller_ask (caller_t *c, struct ev_loop *loop, uint16_t port, const char *request);
 void caller_close (caller_t *c, struct ev_loop *loop);
 
 #endif
