--- a/packages/forward/src/admit.c
+++ b/packages/forward/src/admit.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "cs/log.h"
+#include "cs/poison.h"
 #include "forward.h"
 
 enum {
@@ -108,6 +109,8 @@
 	}
 	set_deadlines (c);
 	c->service = cs_str_dup (cs_str (cs_serving_pick_service (c->route, &f->rng)));
+	c->content = cs_poison_fingerprint (cs_str (c->team ? c->team->name : ""),
+					    cs_str (c->target), cs_buf_str (&c->body));
 	cs_retry_count_first_try (&f->retry, c->received_ms);
 	cs_dispatch (c);
 }
--- a/packages/forward/src/attempt_end.c
+++ b/packages/forward/src/attempt_end.c
@@ -1,4 +1,5 @@
 /* Evaluates finished and stalled attempts and takes the next step. */
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -147,11 +148,11 @@
 		return; /* logged by the event request_ended */
 	cs_log_event ("forward", "attempt_ended",
 		      "id=%.*s back_end=%s end=%s status=%d ran=%s tries=%u runs=%u stream=%d "
-		      "reached_caller=%d events=%u ms=%lld then=%s",
+		      "reached_caller=%d events=%u ms=%lld then=%s content=%016" PRIx64,
 		      CS_STR_ARG (cs_call_id (c)), s->backend_id, ends[a->end], a->status,
 		      runs[cs_outcome_run (a)], c->tries, c->runs, s->is_stream, c->has_head,
 		      s->events, (long long)((cs_now_us () - s->sent_us) / 1000),
-		      cs_next_step_name (then));
+		      cs_next_step_name (then), c->content);
 }
 
 void
--- a/packages/forward/src/forward.h
+++ b/packages/forward/src/forward.h
@@ -145,7 +145,8 @@
 	const cs_serving_route_t *route;
 	const cs_team_t *team; /* NULL if there is none, as on a public route */
 	char *service;
-	uint32_t runs; /* attempts that ran or may have run */
+	uint64_t content; /* hash of team, path and body: equal if the caller asks again */
+	uint32_t runs;    /* attempts that ran or may have run */
 	uint32_t tries;
 	char *tried[CS_OUTCOME_MAX_TRIES];
 	cs_backend_request_t *backend_request; /* attempt in progress; NULL: none */
--- a/packages/forward/src/request_metrics.c
+++ b/packages/forward/src/request_metrics.c
@@ -1,4 +1,6 @@
 /* Metrics of requests and attempts, and the log event for the end of a request. */
+#include <inttypes.h>
+
 #include "cs/counters.h"
 #include "cs/log.h"
 #include "forward.h"
@@ -87,12 +89,12 @@
 		cs_counter_add (&duration[i].counter, ms <= duration[i].bound_ms);
 	cs_log_event ("forward", "request_ended",
 		      "id=%.*s outcome=%s status=%d reason=%s route=%s service=%s tries=%u runs=%u "
-		      "events=%u framed=%s ms=%lld retry_after_ms=%u",
+		      "events=%u framed=%s ms=%lld retry_after_ms=%u content=%016" PRIx64,
 		      CS_STR_ARG (cs_call_id (c)), outcome_names[outcome], c->status,
 		      c->own_reason ? c->own_reason : "-", c->route ? c->route->name : "-",
 		      c->service ? c->service : "-", c->tries, c->runs,
 		      c->has_events ? c->events.tokens : 0, framing_of (c), (long long)ms,
-		      c->retry_after_ms);
+		      c->retry_after_ms, c->content);
 }
 
 void
