fleet: what a back end said counts also if an older copy of the list says less

Requests went to back ends that had reported that they drain, once the store came back from a copy of the list that shows them ready (DRAIN); the same happens to entries that had been removed.

Cause: the fleet took each description as newer than the one before. That an entry's order of arrival is the order in which it was written holds only within an era.

Change: the fleet remembers, per id and time of birth, whether the back end leaves and its most heartbeats. A leaving incarnation never counts as ready; while the list was unreachable lately, a description that is older than the known one is ignored, and an entry that had been removed and comes back as it was is in doubt for 5 s, by when the store has removed it again if nobody renews it.

--- a/packages/decide/include/cs/fleet.h
+++ b/packages/decide/include/cs/fleet.h
@@ -2,7 +2,13 @@
  * and of the serving groups that they form. A back end that disappears from the list is removed at
  * once, unless the list is unreachable or was so just before: many entries expire together then,
  * and those of live back ends are listed again within CS_FLEET_EXPIRY_GRACE_MS. A draining back end
- * is always removed at once. */
+ * is always removed at once.
+ *
+ * What a back end has said of itself counts for as long as it runs, also if the list says less: the
+ * platform's store may be restored from an older copy. A back end that leaves never counts as ready
+ * again, a description older than the known one is ignored, and an entry that had been removed and
+ * is listed again as it was, after the list was unreachable, counts only after CS_FLEET_DOUBT_MS:
+ * by then the store has removed it again if the back end is gone. */
 #ifndef CS_FLEET_H
 #define CS_FLEET_H
 
@@ -16,7 +22,10 @@
 enum {
 	/* The platform's users report that expired entries are listed again about 2 s after the
 	 * store is reachable again. */
-	CS_FLEET_EXPIRY_GRACE_MS = 2500
+	CS_FLEET_EXPIRY_GRACE_MS = 2500,
+	/* An entry expires after three heartbeat intervals of at most 1.2 s. */
+	CS_FLEET_DOUBT_MS = 5000,
+	CS_FLEET_MEMORY_MS = 60000 /* for which an unlisted back end is remembered */
 };
 
 typedef enum {
@@ -35,22 +44,25 @@
 	char *service;
 	char *address; /* IP:PORT */
 	char *zone;
-	char *domain;   /* fabric domain; "": none */
-	uint64_t born;  /* distinguishes incarnations of the same id */
-	bool draining;  /* takes no new work */
-	uint32_t slots; /* requests run concurrently */
-	char *model;    /* model whose weights are in memory; "": none */
-	char *staged;   /* newest weights on its host; "": none */
-	char *group;    /* group of which it is a member; "": none */
-	uint64_t epoch; /* fencing number of that membership */
-	uint32_t rank;  /* rank in the group; 0 is the head */
+	char *domain;        /* fabric domain; "": none */
+	uint64_t born;       /* distinguishes incarnations of the same id; 0: unknown */
+	uint64_t heartbeats; /* of this incarnation when it described itself; 0: unknown */
+	bool draining;       /* takes no new work */
+	uint32_t slots;      /* requests run concurrently */
+	char *model;         /* model whose weights are in memory; "": none */
+	char *staged;        /* newest weights on its host; "": none */
+	char *group;         /* group of which it is a member; "": none */
+	uint64_t epoch;      /* fencing number of that membership */
+	uint32_t rank;       /* rank in the group; 0 is the head */
 	cs_membership_state_t state;
 } cs_backend_t;
 
 /* Returns a back end with one reference and all fields zero. Its strings must be allocated on the
  * heap and all be set before use; they are freed with the back end. */
 cs_backend_t *cs_backend_new (void);
-/* Compares all fields but the id. */
+/* Returns a copy with one reference. */
+cs_backend_t *cs_backend_copy (const cs_backend_t *b);
+/* Compares all fields but the id and the heartbeats. */
 bool cs_backend_equal (const cs_backend_t *a, const cs_backend_t *b);
 const char *cs_member_state_name (cs_membership_state_t state);
 
@@ -82,7 +94,10 @@
 	UT_hash_handle hh;
 } cs_fleet_group_t;
 
+typedef struct cs_fleet_memory cs_fleet_memory_t;
+
 typedef struct {
+	cs_fleet_memory_t *memory;  /* uthash by id: what back ends said, listed or not */
 	cs_fleet_group_t *groups;   /* uthash by head: groups seen complete */
 	cs_fleet_entry_t *entries;  /* uthash by id */
 	cs_fleet_epoch_t *epochs;   /* uthash by epoch */
@@ -99,7 +114,11 @@
 bool cs_fleet_remove (cs_fleet_t *f, int64_t now_ms, const char *id);
 /* Records whether the list can be read. */
 void cs_fleet_set_list_reachable (cs_fleet_t *f, int64_t now_ms, bool reached);
-/* Removes expired entries once the grace period is over; false if none was removed. */
+/* Records that this incarnation of a back end said by itself that it leaves: from now on it is a
+ * draining one. False if that was known. */
+bool cs_fleet_set_leaving (cs_fleet_t *f, int64_t now_ms, const char *id, uint64_t born);
+/* Removes expired entries once the grace period is over, and adds those that are in doubt no more;
+ * false if none was removed or added. */
 bool cs_fleet_remove_expired (cs_fleet_t *f, int64_t now_ms);
 /* These two return NULL if there is no entry for the id. The back end is valid until its entry
  * changes, the entry until it is removed. */
--- a/packages/decide/src/fleet.c
+++ b/packages/decide/src/fleet.c
@@ -4,6 +4,8 @@
 #include <string.h>
 #include <utlist.h>
 
+#include "fleet_memory.h"
+
 static void
 free_backend (cs_ref_t *ref)
 {
@@ -27,6 +29,24 @@
 	return b;
 }
 
+cs_backend_t *
+cs_backend_copy (const cs_backend_t *b)
+{
+	cs_backend_t *copy = cs_backend_new ();
+	const cs_ref_t ref = copy->ref;
+	*copy = *b;
+	copy->ref = ref;
+	copy->id = cs_str_dup (cs_str (b->id));
+	copy->service = cs_str_dup (cs_str (b->service));
+	copy->address = cs_str_dup (cs_str (b->address));
+	copy->zone = cs_str_dup (cs_str (b->zone));
+	copy->domain = cs_str_dup (cs_str (b->domain));
+	copy->model = cs_str_dup (cs_str (b->model));
+	copy->staged = cs_str_dup (cs_str (b->staged));
+	copy->group = cs_str_dup (cs_str (b->group));
+	return copy;
+}
+
 bool
 cs_backend_equal (const cs_backend_t *a, const cs_backend_t *b)
 {
@@ -99,6 +119,9 @@
 cs_fleet_set (cs_fleet_t *f, int64_t now_ms, cs_backend_t *b)
 {
 	cs_fleet_entry_t *e;
+	b = cs_fleet_remember (f, now_ms, b);
+	if (!b)
+		return false;
 	HASH_FIND_STR (f->entries, b->id, e);
 	bool unchanged = e && !e->expired_ms && cs_backend_equal (e->backend, b);
 	bool same_incarnation = e && e->backend->born == b->born;
@@ -125,12 +148,15 @@
 {
 	cs_fleet_entry_t *e;
 	HASH_FIND_STR (f->entries, id, e);
-	if (!e)
+	if (!e) {
+		cs_fleet_remember_removal (f, now_ms, id);
 		return false;
+	}
 	bool in_grace =
 		f->list_unreachable || (f->reachable_since_ms &&
 					now_ms - f->reachable_since_ms < CS_FLEET_EXPIRY_GRACE_MS);
 	if (!in_grace || e->backend->draining) {
+		cs_fleet_remember_removal (f, now_ms, id);
 		remove_entry (f, e);
 		return true;
 	}
@@ -154,9 +180,13 @@
 	bool changed = false;
 	if (f->list_unreachable)
 		return false;
+	cs_fleet_forget (f, now_ms);
+	for (cs_backend_t *b; (b = cs_fleet_take_undoubted (f, now_ms));)
+		changed |= cs_fleet_set (f, now_ms, b);
 	HASH_ITER (hh, f->entries, e, next) {
 		if (!e->expired_ms || now_ms - f->reachable_since_ms < CS_FLEET_EXPIRY_GRACE_MS)
 			continue;
+		cs_fleet_remember_removal (f, now_ms, e->backend->id);
 		remove_entry (f, e);
 		changed = true;
 	}
@@ -289,4 +319,5 @@
 	HASH_ITER (hh, f->groups, g, next_g) {
 		remove_group (f, g);
 	}
+	cs_fleet_memory_finish (f);
 }
--- a/packages/decide/tests/test_fleet.c
+++ b/packages/decide/tests/test_fleet.c
@@ -125,6 +125,131 @@
 	cs_fleet_finish (&f);
 }
 
+/* What the list says of a back end, one step after the other. */
+typedef struct {
+	int64_t at_ms; /* 0: the end */
+	enum {
+		LISTED,
+		UNLISTED,
+		LOST,
+		REGAINED,
+		SAYS_LEAVING,
+		TICK
+	} what;
+	uint64_t born;
+	uint64_t heartbeats;
+	bool draining;
+	char state; /* afterwards: '-' unlisted, 'r' ready, 'd' draining */
+} step_t;
+
+static void
+take_step (cs_fleet_t *f, const step_t *s)
+{
+	cs_backend_t *b;
+	switch (s->what) {
+	case LISTED:
+		b = make_member ("a", "", 0, 0, CS_MEMBERSHIP_NONE);
+		b->born = s->born;
+		b->heartbeats = s->heartbeats;
+		b->draining = s->draining;
+		cs_fleet_set (f, s->at_ms, b);
+		break;
+	case UNLISTED:
+		cs_fleet_remove (f, s->at_ms, "a");
+		break;
+	case LOST:
+	case REGAINED:
+		cs_fleet_set_list_reachable (f, s->at_ms, s->what == REGAINED);
+		break;
+	case SAYS_LEAVING:
+		cs_fleet_set_leaving (f, s->at_ms, "a", s->born);
+		break;
+	case TICK:
+		cs_fleet_remove_expired (f, s->at_ms);
+		break;
+	}
+}
+
+/* Guards against requests to a back end that leaves or is gone, as an older copy of the list shows
+ * it ready, and against keeping out one that runs. */
+static void
+test_older_copy (void **state)
+{
+	static const struct {
+		const char *name;
+		step_t steps[8];
+	} cases[] = {
+		{"drains, an older copy says ready",
+		 {{10, LISTED, 1, 5, true, 'd'},
+		  {20, LOST, 0, 0, 0, 'd'},
+		  {30, LISTED, 1, 4, false, 'd'},
+		  {40, REGAINED, 0, 0, 0, 'd'},
+		  {9000, LISTED, 1, 4, false, 'd'}}},
+		{"drains, started anew",
+		 {{10, LISTED, 1, 5, true, 'd'}, {20, LISTED, 2, 1, false, 'r'}}},
+		{"gone, an older copy lists it, the store removes it",
+		 {{10, LISTED, 1, 5, false, 'r'},
+		  {20, UNLISTED, 0, 0, 0, '-'},
+		  {30, LOST, 0, 0, 0, '-'},
+		  {40, LISTED, 1, 5, false, '-'},
+		  {50, REGAINED, 0, 0, 0, '-'},
+		  {3500, UNLISTED, 0, 0, 0, '-'},
+		  {9000, TICK, 0, 0, 0, '-'}}},
+		{"gone, an older copy lists it, it stays listed",
+		 {{10, LISTED, 1, 5, false, 'r'},
+		  {20, UNLISTED, 0, 0, 0, '-'},
+		  {30, LOST, 0, 0, 0, '-'},
+		  {40, LISTED, 1, 5, false, '-'},
+		  {50, REGAINED, 0, 0, 0, '-'},
+		  {40 + CS_FLEET_DOUBT_MS - 1, TICK, 0, 0, 0, '-'},
+		  {40 + CS_FLEET_DOUBT_MS, TICK, 0, 0, 0, 'r'}}},
+		{"lapsed while it was cut off from the store, back with a newer heartbeat",
+		 {{10, LISTED, 1, 5, false, 'r'},
+		  {20, UNLISTED, 0, 0, 0, '-'},
+		  {30, LOST, 0, 0, 0, '-'},
+		  {40, REGAINED, 0, 0, 0, '-'},
+		  {50, LISTED, 1, 9, false, 'r'}}},
+		{"lapsed and back, the store was never away",
+		 {{10, LISTED, 1, 5, false, 'r'},
+		  {20, UNLISTED, 0, 0, 0, '-'},
+		  {50, LISTED, 1, 5, false, 'r'}}},
+		{"an older life in an older copy",
+		 {{10, LISTED, 7, 5, false, 'r'},
+		  {20, LOST, 0, 0, 0, 'r'},
+		  {30, LISTED, 3, 90, true, 'r'}}},
+		{"a life that seems older, as its clock was set back",
+		 {{10, LISTED, 7, 5, true, 'd'}, {20, LISTED, 3, 1, false, 'r'}}},
+		{"says that it leaves, its entry says ready",
+		 {{10, LISTED, 1, 5, false, 'r'},
+		  {20, SAYS_LEAVING, 1, 0, 0, 'd'},
+		  {30, LISTED, 1, 6, false, 'd'},
+		  {40, UNLISTED, 0, 0, 0, '-'},
+		  {50, LISTED, 1, 7, false, 'd'},
+		  {60, LISTED, 2, 1, false, 'r'}}},
+		{"an earlier life said that it leaves",
+		 {{10, LISTED, 2, 5, false, 'r'}, {20, SAYS_LEAVING, 1, 0, 0, 'r'}}},
+		{"says that it leaves, has no time of birth",
+		 {{10, LISTED, 0, 5, false, 'r'},
+		  {20, SAYS_LEAVING, 0, 0, 0, 'd'},
+		  {30, UNLISTED, 0, 0, 0, '-'},
+		  {40, LISTED, 0, 1, false, 'r'}}},
+	};
+	(void)state;
+	for (size_t i = 0; i < CS_ARRAY_LEN (cases); i++) {
+		cs_fleet_t f;
+		cs_fleet_init (&f);
+		for (const step_t *s = cases[i].steps; s->at_ms; s++) {
+			take_step (&f, s);
+			const cs_backend_t *b = cs_fleet_find (&f, "a");
+			char is = b ? b->draining ? 'd' : 'r' : '-';
+			if (is != s->state)
+				fail_msg ("%s: step %zu: %c", cases[i].name,
+					  (size_t)(s - cases[i].steps), is);
+		}
+		cs_fleet_finish (&f);
+	}
+}
+
 int
 main (void)
 {
@@ -132,6 +257,7 @@
 		cmocka_unit_test (test_group_complete),
 		cmocka_unit_test (test_head),
 		cmocka_unit_test (test_expiry),
+		cmocka_unit_test (test_older_copy),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
 }
