former: the era of the ledger is part of a group's epoch

Cause: the epoch was the offset of the Form record, and the ledger's offsets are given out again when the store comes back from an older copy. The planner's lease compared generations across such a return in the same way, and a proposal's offset could be the end of the ledger by chance.

Change: a Form record carries the era in which it was proposed; the epoch is era and offset, so that epochs rise over eras too. A renewal in another era is a new lease: the ledger is read again and what the planner knew counts as another planner's. A proposal that was made in an earlier era is not appended. Records without an era keep their epochs.

Not covered: an append of an earlier era that is carried out late, at an offset where another of that era was lost.

--- a/packages/decide/include/cs/formation.h
+++ b/packages/decide/include/cs/formation.h
@@ -1,8 +1,8 @@
 /* Planner of the serving groups of a hosted platform. It assigns back ends to groups by orders
  * (join, open, close, stage) and opens or closes the head of each group, which takes its requests.
  *
- * A Form record in the ledger assigns members. The offset of the record gives the group's epoch,
- * so that epochs rise and only one of two planners that append at the same offset succeeds. Joins
+ * A Form record in the ledger assigns members. Its offset and era give the group's epoch, so that
+ * epochs rise and only one of two planners that append at the same offset succeeds. Joins
  * carry the epoch, and a back end refuses any epoch below the highest that it has seen. Rules:
  *
  * - A head is opened only when every member has reported itself ready under this group name and
@@ -138,6 +138,10 @@
 	size_t cap_actions;
 } cs_formation_t;
 
+/* Epoch of the group whose Form record has this offset in the ledger; never 0. The offset is given
+ * again after the ledger was restored from an older copy, but not in the same era. As a number of
+ * JSON it is exact up to era 2^21. */
+uint64_t cs_formation_epoch (uint64_t era, uint64_t offset);
 void cs_formation_init (cs_formation_t *f);
 void cs_formation_finish (cs_formation_t *f);
 /* Starts planning. Discards all state, as other planners may have sent orders meanwhile. Until
--- a/packages/decide/include/cs/planner_lease.h
+++ b/packages/decide/include/cs/planner_lease.h
@@ -15,6 +15,7 @@
 typedef struct {
 	bool held;                /* this daemon holds the lease, as of the last reply */
 	uint64_t generation;      /* of the group of planners, as of the last reply */
+	uint64_t era;             /* of the store that gave the last reply */
 	int64_t lease_expires_ms; /* when the lease ends unless renewed, margin deducted */
 } cs_planner_lease_t;
 
@@ -25,9 +26,11 @@
 } cs_planner_lease_result_t;
 
 /* Records the reply to a renewal sent at sent_ms. held: this daemon holds the lease. lease_ms: its
- * duration, counted from sent_ms. generation rises whenever the lease passes to another daemon. */
+ * duration, counted from sent_ms. generation rises whenever the lease passes to another daemon,
+ * until the store is restored from an older copy, which begins another era: all state is then
+ * reread. */
 cs_planner_lease_result_t cs_planner_lease_renewed (cs_planner_lease_t *t, int64_t now_ms,
 						    int64_t sent_ms, uint32_t lease_ms, bool held,
-						    uint64_t generation);
+						    uint64_t generation, uint64_t era);
 
 #endif
--- a/packages/decide/src/formation.c
+++ b/packages/decide/src/formation.c
@@ -79,6 +79,15 @@
 	f->n_actions = 0;
 }
 
+uint64_t
+cs_formation_epoch (uint64_t era, uint64_t offset)
+{
+	enum {
+		OFFSET_BITS = 32
+	};
+	return (era << OFFSET_BITS) + offset + 1;
+}
+
 void
 cs_formation_init (cs_formation_t *f)
 {
--- a/packages/decide/tests/test_planner_lease.c
+++ b/packages/decide/tests/test_planner_lease.c
@@ -13,32 +13,38 @@
 	bool held;
 	uint64_t generation;
 	cs_planner_lease_result_t step;
+	uint64_t era;
 } renewal_t;
 
 static const struct {
 	const char *name;
 	renewal_t renewals[STEPS + 1];
 } cases[] = {
-	{"first lease", {{0, 10, true, 1, CS_PLANNER_LEASE_ACQUIRED}}},
+	{"first lease", {{0, 10, true, 1, CS_PLANNER_LEASE_ACQUIRED, 3}}},
 	{"renewed in time",
-	 {{0, 10, true, 1, CS_PLANNER_LEASE_ACQUIRED},
-	  {300, 310, true, 1, CS_PLANNER_LEASE_CONTINUED}}},
+	 {{0, 10, true, 1, CS_PLANNER_LEASE_ACQUIRED, 3},
+	  {300, 310, true, 1, CS_PLANNER_LEASE_CONTINUED, 3}}},
 	{"renewed in time while the generation changes",
-	 {{0, 10, true, 1, CS_PLANNER_LEASE_ACQUIRED},
-	  {300, 310, true, 7, CS_PLANNER_LEASE_CONTINUED}}},
+	 {{0, 10, true, 1, CS_PLANNER_LEASE_ACQUIRED, 3},
+	  {300, 310, true, 7, CS_PLANNER_LEASE_CONTINUED, 3}}},
 	{"answered late, no other daemon held it",
-	 {{0, 10, true, 1, CS_PLANNER_LEASE_ACQUIRED},
-	  {300, 900, true, 1, CS_PLANNER_LEASE_CONTINUED},
-	  {950, 960, true, 1, CS_PLANNER_LEASE_CONTINUED}}},
+	 {{0, 10, true, 1, CS_PLANNER_LEASE_ACQUIRED, 3},
+	  {300, 900, true, 1, CS_PLANNER_LEASE_CONTINUED, 3},
+	  {950, 960, true, 1, CS_PLANNER_LEASE_CONTINUED, 3}}},
 	{"answered late, the generation has changed",
-	 {{0, 10, true, 1, CS_PLANNER_LEASE_ACQUIRED},
-	  {300, 800, true, 2, CS_PLANNER_LEASE_ACQUIRED},
-	  {850, 860, true, 2, CS_PLANNER_LEASE_CONTINUED}}},
+	 {{0, 10, true, 1, CS_PLANNER_LEASE_ACQUIRED, 3},
+	  {300, 800, true, 2, CS_PLANNER_LEASE_ACQUIRED, 3},
+	  {850, 860, true, 2, CS_PLANNER_LEASE_CONTINUED, 3}}},
+	{"renewed in time, the store was restored",
+	 {{0, 10, true, 1, CS_PLANNER_LEASE_ACQUIRED, 3},
+	  {300, 310, true, 1, CS_PLANNER_LEASE_CONTINUED, 3},
+	  {600, 610, true, 1, CS_PLANNER_LEASE_ACQUIRED, 4},
+	  {900, 910, true, 1, CS_PLANNER_LEASE_CONTINUED, 4}}},
 	{"lost and regained",
-	 {{0, 10, true, 1, CS_PLANNER_LEASE_ACQUIRED},
-	  {300, 310, false, 2, CS_PLANNER_LEASE_NOT_HELD},
-	  {600, 610, false, 2, CS_PLANNER_LEASE_NOT_HELD},
-	  {900, 910, true, 2, CS_PLANNER_LEASE_ACQUIRED}}},
+	 {{0, 10, true, 1, CS_PLANNER_LEASE_ACQUIRED, 3},
+	  {300, 310, false, 2, CS_PLANNER_LEASE_NOT_HELD, 3},
+	  {600, 610, false, 2, CS_PLANNER_LEASE_NOT_HELD, 3},
+	  {900, 910, true, 2, CS_PLANNER_LEASE_ACQUIRED, 3}}},
 };
 
 static void
@@ -51,7 +57,7 @@
 		for (const renewal_t *r = cases[i].renewals; r->answered_ms; r++) {
 			assert_int_equal (cs_planner_lease_renewed (&lease, r->answered_ms,
 								    r->sent_ms, LEASE_MS, r->held,
-								    r->generation),
+								    r->generation, r->era),
 					  r->step);
 			assert_int_equal (lease.lease_expires_ms, r->sent_ms + 800);
 		}
--- a/packages/former/src/former.c
+++ b/packages/former/src/former.c
@@ -13,7 +13,7 @@
 };
 
 static void
-encode_form (const cs_formation_group_t *group, cs_buf_t *out)
+encode_form (const cs_formation_group_t *group, uint64_t era, cs_buf_t *out)
 {
 	Cs__Form form = CS__FORM__INIT;
 	Cs__Record record = CS__RECORD__INIT;
@@ -22,13 +22,13 @@
 	form.model = group->model;
 	form.members = group->members;
 	form.n_members = group->n;
+	form.era = era;
 	record.body_case = CS__RECORD__BODY_FORM;
 	record.form = &form;
 	cs_buf_reserve (out, cs__record__get_packed_size (&record));
 	out->n += cs__record__pack (&record, (uint8_t *)out->p + out->n);
 }
 
-/* The epoch is the offset plus 1: offsets start at 0, and epoch 0 means "never joined". */
 static void
 apply_form_record (cs_former_t *f, const cs_ledger_msg_t *m)
 {
@@ -38,7 +38,8 @@
 			"ledger record %" PRIu64 " ignored: not a valid Form record", m->offset);
 	} else {
 		const Cs__Form *form = r->form;
-		cs_formation_apply (&f->formation, cs_now_ms (), m->offset + 1, form->group,
+		cs_formation_apply (&f->formation, cs_now_ms (),
+				    cs_formation_epoch (form->era, m->offset), form->group,
 				    form->model_group, form->model,
 				    (const char *const *)form->members, form->n_members);
 	}
@@ -51,6 +52,7 @@
 {
 	if (!f->lease_until_ms)
 		return;
+	f->ledger_era = m->era;
 	if (!m->bytes.n) {
 		f->is_ledger_read = true;
 		cs_formation_caught_up (&f->formation);
@@ -70,15 +72,17 @@
 	if (!p->n_proposed)
 		return;
 	cs_ledger_msg_t *m = cs_ledger_msg (CS_HOST_PROPOSE, f->ledger_end, cs_str (NULL), CS_OK);
+	m->era = f->ledger_era;
 	m->records = cs_alloc (p->n_proposed * sizeof *m->records);
 	m->n_records = p->n_proposed;
 	for (size_t i = 0; i < p->n_proposed; i++) {
 		const cs_formation_group_t *group = p->proposed[i];
 		cs_buf_init (&m->records[i]);
-		encode_form (group, &m->records[i]);
+		encode_form (group, f->ledger_era, &m->records[i]);
 		cs_log_event ("former", "group_proposed",
 			      "group=%s model=%s members=%zu head=%s epoch=%" PRIu64, group->name,
-			      group->model, group->n, group->members[0], f->ledger_end + i + 1);
+			      group->model, group->n, group->members[0],
+			      cs_formation_epoch (f->ledger_era, f->ledger_end + i));
 	}
 	f->is_append_pending = true;
 	f->proposed_end = f->ledger_end + p->n_proposed;
--- a/packages/former/src/former.h
+++ b/packages/former/src/former.h
@@ -22,6 +22,7 @@
 	bool is_ledger_read;        /* applied to its end since the lease began */
 	bool is_append_pending;     /* a proposal has no outcome yet: no plan may build on it */
 	uint64_t ledger_end;        /* offset after the last record read */
+	uint64_t ledger_era;        /* of the store when it was read */
 	uint64_t proposed_end;      /* end of the ledger once it holds the proposal */
 	const char *blocked_reason; /* why the last timer tick did not plan; NULL: it planned */
 } cs_former_t;
--- a/packages/host/include/cs/host_messages.h
+++ b/packages/host/include/cs/host_messages.h
@@ -54,10 +54,12 @@
 } cs_state_msg_t;
 
 /* LEDGER: a record, or, if bytes.n is 0, the end of the ledger at `offset`. PROPOSE: a request to
- * append these records if the ledger ends at `offset`. PROPOSED: the status of that request. */
+ * append these records if the ledger ends at `offset` in this era. PROPOSED: the status of that
+ * request. */
 typedef struct {
 	cs_msg_t msg;
 	uint64_t offset;
+	uint64_t era;      /* LEDGER, PROPOSE: of the store; its offsets mean nothing in another */
 	cs_buf_t *records; /* PROPOSE */
 	size_t n_records;
 	cs_buf_t bytes; /* LEDGER */
--- a/packages/wire/include/cs/record.pb-c.h
+++ b/packages/wire/include/cs/record.pb-c.h
@@ -311,10 +311,14 @@
   char **members;
   uint64_t previous_fence;
   uint64_t epoch;
+  /*
+   * Hosted platform: era of the store when the record was made. The offset is unique in an era only.
+   */
+  uint64_t era;
 };
 #define CS__FORM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cs__form__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0 }
 
 
 struct  Cs__Dissolve
--- a/packages/wire/src/record.pb-c.c
+++ b/packages/wire/src/record.pb-c.c
@@ -2166,7 +2166,7 @@
   (ProtobufCMessageInit) cs__vm_gone__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cs__form__field_descriptors[7] =
+static const ProtobufCFieldDescriptor cs__form__field_descriptors[8] =
 {
   {
     "group",
@@ -2252,9 +2252,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "era",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Form, era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cs__form__field_indices_by_name[] = {
   6,   /* field[6] = epoch */
+  7,   /* field[7] = era */
   0,   /* field[0] = group */
   4,   /* field[4] = members */
   2,   /* field[2] = model */
@@ -2265,7 +2278,7 @@
 static const ProtobufCIntRange cs__form__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor cs__form__descriptor =
 {
@@ -2275,7 +2288,7 @@
   "Cs__Form",
   "cs",
   sizeof(Cs__Form),
-  7,
+  8,
   cs__form__field_descriptors,
   cs__form__field_indices_by_name,
   1,  cs__form__number_ranges,
