hosted: a back end that says in an answer that it leaves gets no new requests

Requests reached back ends more than 2 s after they had told the daemon that they leave (DRAIN): only the entry in the store was read, and some back ends never change theirs.

Change: forward, former and the probes of notes look for the header in each answer: any status, a stream's head, a report, an order's reply, a late answer of another request. That incarnation then counts as draining in this process, whatever its entry says; the planner moves its group as for any draining member. Not shared with other daemons: the promise binds the daemon that was told, others see the entry change or hear it themselves.

Evidence: hosted/leaving_in_success, _in_refusal, _in_stream and leaving_head_of_a_group failed and pass; test_fleet has the same id started anew, and an earlier life's word.

--- a/packages/former/src/former.c
+++ b/packages/former/src/former.c
@@ -220,6 +220,10 @@
 	case CS_HOST_BACKEND:
 		cs_backend_msg_apply ((cs_backend_msg_t *)m, &f->fleet);
 		break;
+	case CS_HOST_LEAVING:
+		cs_fleet_set_leaving (&f->fleet, cs_now_ms (), ((cs_backend_said_msg_t *)m)->id,
+				      ((cs_backend_said_msg_t *)m)->born);
+		break;
 	case CS_HOST_LIST_STATE:
 		cs_fleet_set_list_reachable (&f->fleet, cs_now_ms (),
 					     ((cs_state_msg_t *)m)->is_true);
--- a/packages/former/src/send_action.c
+++ b/packages/former/src/send_action.c
@@ -21,6 +21,7 @@
 	cs_form_kind_t kind;
 	uint64_t epoch;
 	char *id;
+	uint64_t born; /* of the back end as it is listed; 0: unknown */
 	cs_buf_t url;
 	cs_buf_t body;
 	cs_buf_t expected;
@@ -32,6 +33,21 @@
 static cs_counter_t orders = {.name = "cs_former_orders_total",
 			      .help = "Orders sent to back ends."};
 
+/* Any answer may say so, also that to a probe or an order. */
+static void
+on_header (cs_http_call_t *call, cs_str_t name, cs_str_t value)
+{
+	const order_t *o = call->data;
+	cs_former_t *f = o->former;
+	const char *leaving = f->host->adapter->headers->leaving;
+	if (!value.n || name.n != strlen (leaving) || !cs_str_starts_nocase (name, leaving) ||
+	    !cs_fleet_set_leaving (&f->fleet, cs_now_ms (), o->id, o->born))
+		return;
+	cs_log_event ("list", "says_leaving", "id=%s born=%" PRIu64, o->id, o->born);
+	cs_send (f->task, cs_task_find (f->task->kernel, "forward"),
+		 &cs_backend_said_msg (CS_HOST_LEAVING, o->id, o->born)->msg);
+}
+
 static void
 on_body (cs_http_call_t *call, cs_str_t bytes)
 {
@@ -159,6 +175,8 @@
 	o->kind = a->kind;
 	o->epoch = a->group ? a->group->epoch : 0;
 	o->id = cs_str_dup (cs_str (a->id));
+	const cs_backend_t *b = cs_fleet_find (&f->fleet, a->id);
+	o->born = b ? b->born : 0;
 	cs_buf_printf (&o->url, "http://%s%s", address,
 		       is_probe ? adapter->report_path : adapter->order_path);
 	cs_buf_printf (&o->expected, "%s: %s", adapter->headers->expected_backend, a->id);
@@ -177,6 +195,7 @@
 		.total_timeout_ms = is_probe ? PROBE_TIMEOUT_MS : ORDER_TIMEOUT_MS,
 		.not_after_ms = f->lease_until_ms, /* a daemon that was paused must not send
 						      outdated orders */
+		.on_header = on_header,
 		.on_body = on_body,
 		.on_end = on_end,
 		.data = o,
--- a/packages/forward/src/backend_request.c
+++ b/packages/forward/src/backend_request.c
@@ -245,6 +245,8 @@
 {
 	cs_backend_request_t *s = http->data;
 	s->status = status;
+	if (cs_headers_find (&s->answer_headers, s->call->forward->names->leaving).n)
+		cs_said_leaving (s->call->forward, s->backend_id, s->born);
 	s->is_stream = s->call->route->kind == CS_KIND_STREAM && status == 200 &&
 		       cs_str_starts_nocase (content_type, "text/event-stream");
 	const cs_attempt_t answered = result_of (s, CS_ATTEMPT_ANSWERED);
@@ -466,6 +468,7 @@
 	s->backend_id = cs_str_dup (cs_str (b->id));
 	s->service = cs_str_dup (cs_str (service));
 	s->incarnation = b->epoch ? b->epoch : b->born;
+	s->born = b->born;
 	s->sent_us = cs_now_us ();
 	ev_init (&s->progress_timer, on_progress_timer);
 	/* Bytes that arrived while this process was paused are read first. */
--- a/packages/forward/src/forward.c
+++ b/packages/forward/src/forward.c
@@ -131,6 +131,10 @@
 	case CS_HOST_NOTE:
 		cs_notes_receive (f, cs_buf_str (&((cs_ledger_msg_t *)m)->bytes));
 		break;
+	case CS_HOST_LEAVING:
+		cs_said_leaving (f, ((cs_backend_said_msg_t *)m)->id,
+				 ((cs_backend_said_msg_t *)m)->born);
+		break;
 	case CS_HOST_SETTINGS_CHANGED:
 		cs_retry_set_percent (&f->retry, retry_percent (f));
 		break;
--- a/packages/forward/src/forward.h
+++ b/packages/forward/src/forward.h
@@ -81,8 +81,9 @@
 	cs_http_call_t http;
 	cs_call_t *call;
 	char *backend_id;
-	char *service; /* the router's name of the service and model */
-	uint64_t incarnation;
+	char *service;        /* the router's name of the service and model */
+	uint64_t incarnation; /* epoch of its group, or else its time of birth */
+	uint64_t born;
 	cs_buf_t url;
 	cs_buf_t header_lines; /* "Name: value" lines to send, each terminated by NUL */
 	const char **headers;
@@ -204,6 +205,8 @@
 void cs_queue_remove (cs_call_t *c);
 /* Records the end of an attempt, from which the expected wait is estimated. */
 void cs_queue_record_attempt_end (cs_forward_t *f, const char *service);
+/* said.c: what back ends say of themselves in their answers. */
+void cs_said_leaving (cs_forward_t *f, const char *id, uint64_t born);
 /* targets.c: updates the router's targets from the fleet. */
 void cs_targets_refresh (cs_forward_t *f);
 /* Sets out to the router's name for a service and model: "SERVICE/MODEL". */
--- a/packages/forward/src/notes.c
+++ b/packages/forward/src/notes.c
@@ -17,6 +17,8 @@
 	cs_http_call_t http;
 	cs_forward_t *forward;
 	uint64_t epoch;
+	char *head;
+	uint64_t born; /* of the head as it is listed; 0: unknown */
 	cs_buf_t url;
 	cs_buf_t expected;
 	const char *headers[2];
@@ -46,6 +48,15 @@
 		publish_note (f, &note);
 }
 
+static void
+on_probe_header (cs_http_call_t *call, cs_str_t name, cs_str_t value)
+{
+	const head_probe_t *p = call->data;
+	const char *leaving = p->forward->names->leaving;
+	if (value.n && name.n == strlen (leaving) && cs_str_starts_nocase (name, leaving))
+		cs_said_leaving (p->forward, p->head, p->born);
+}
+
 static void
 on_probe_end (cs_http_call_t *call, cs_http_end_t end, int status)
 {
@@ -58,6 +69,7 @@
 		note.answers = &answers;
 		publish_note (p->forward, &note);
 	}
+	free (p->head);
 	cs_buf_finish (&p->url);
 	cs_buf_finish (&p->expected);
 	free (p);
@@ -70,6 +82,9 @@
 	head_probe_t *p = cs_alloc (sizeof *p);
 	p->forward = f;
 	p->epoch = q->epoch;
+	p->head = cs_str_dup (cs_str (q->head));
+	const cs_backend_t *listed = cs_fleet_find (&f->fleet, q->head);
+	p->born = listed ? listed->born : 0;
 	cs_buf_printf (&p->url, "http://%s%s", q->address, adapter->report_path);
 	cs_buf_printf (&p->expected, "%s: %s", adapter->headers->expected_backend, q->head);
 	p->headers[0] = p->expected.p;
@@ -79,6 +94,7 @@
 				   .connect_timeout_ms = PROBE_TIMEOUT_MS,
 				   .idle_timeout_ms = PROBE_TIMEOUT_MS,
 				   .total_timeout_ms = PROBE_TIMEOUT_MS,
+				   .on_header = on_probe_header,
 				   .on_end = on_probe_end,
 				   .data = p};
 	if (cs_http_start (&f->client, &p->http) != CS_OK)
--- a/packages/host/include/cs/host.h
+++ b/packages/host/include/cs/host.h
@@ -42,6 +42,7 @@
 	const char *model;
 	const char *last_event_id; /* the caller has received the stream up to this event */
 	const char *fault_at;      /* back end that prevents a group from working */
+	const char *leaving;       /* the back end that answers leaves */
 } cs_header_names_t;
 
 /* Content of a back end's response to a report request. */
--- a/packages/host/src/host_messages.c
+++ b/packages/host/src/host_messages.c
@@ -20,6 +20,14 @@
 	free (m);
 }
 
+static void
+free_backend_said_msg (cs_ref_t *ref)
+{
+	cs_backend_said_msg_t *m = (cs_backend_said_msg_t *)ref;
+	free (m->id);
+	free (m);
+}
+
 static void
 free_ledger_msg (cs_ref_t *ref)
 {
@@ -69,6 +77,15 @@
 	return cs_fleet_set (fleet, cs_now_ms (), m->backend);
 }
 
+cs_backend_said_msg_t *
+cs_backend_said_msg (int kind, const char *id, uint64_t born)
+{
+	cs_backend_said_msg_t *m = cs_msg_new (sizeof *m, kind, free_backend_said_msg);
+	m->id = cs_str_dup (cs_str (id));
+	m->born = born;
+	return m;
+}
+
 cs_state_msg_t *
 cs_state_msg (int kind, bool yes, int64_t until_ms)
 {
