hosted: a back end that answers 503 with Retry-After gets nothing until then

Change: the time counts per incarnation, in the fleet's memory; router, planner and probes leave the back end out until then (closing a head that lacks a member does not wait). If only such back ends are left, callers are refused at once and told the soonest return, 30 s at most.

--- a/packages/decide/include/cs/fleet.h
+++ b/packages/decide/include/cs/fleet.h
@@ -117,6 +117,14 @@
 /* Records that this incarnation of a back end said by itself that it leaves: from now on it is a
  * draining one. False if that was known. */
 bool cs_fleet_set_leaving (cs_fleet_t *f, int64_t now_ms, const char *id, uint64_t born);
+/* Records that this incarnation of a back end has turned this daemon away: it wants no requests of
+ * it before until_ms. False if that was known, or if it is not the incarnation that is listed. */
+bool cs_fleet_turn_away (cs_fleet_t *f, const char *id, uint64_t born, int64_t until_ms);
+/* Until when the back end wants no requests; 0, or a time that has passed: it takes them. */
+int64_t cs_fleet_turned_away_until_ms (const cs_fleet_t *f, const char *id);
+/* When the first back end of the service that wants no requests takes them again; 0: there is none.
+ */
+int64_t cs_fleet_soonest_return_ms (const cs_fleet_t *f, int64_t now_ms, const char *service);
 /* Removes expired entries once the grace period is over, and adds those that are in doubt no more;
  * false if none was removed or added. */
 bool cs_fleet_remove_expired (cs_fleet_t *f, int64_t now_ms);
--- a/packages/decide/src/fleet_memory.c
+++ b/packages/decide/src/fleet_memory.c
@@ -46,6 +46,7 @@
 	m->born = born;
 	m->heartbeats = 0;
 	m->is_leaving = false;
+	m->turned_away_until_ms = 0;
 }
 
 /* True if the list was unreachable lately: the store may have been restored from an older copy. */
@@ -123,6 +124,36 @@
 	return true;
 }
 
+bool
+cs_fleet_turn_away (cs_fleet_t *f, const char *id, uint64_t born, int64_t until_ms)
+{
+	cs_fleet_memory_t *m = cs_fleet_recall (f, id);
+	if (!m || m->born != born || until_ms <= m->turned_away_until_ms)
+		return false;
+	m->turned_away_until_ms = until_ms;
+	return true;
+}
+
+int64_t
+cs_fleet_turned_away_until_ms (const cs_fleet_t *f, const char *id)
+{
+	const cs_fleet_memory_t *m = cs_fleet_recall (f, id);
+	return m ? m->turned_away_until_ms : 0;
+}
+
+int64_t
+cs_fleet_soonest_return_ms (const cs_fleet_t *f, int64_t now_ms, const char *service)
+{
+	int64_t soonest = 0;
+	for (const cs_fleet_entry_t *e = NULL; (e = cs_fleet_next (f, e));) {
+		int64_t at = cs_fleet_turned_away_until_ms (f, e->backend->id);
+		if (at > now_ms && !e->backend->draining && (!soonest || at < soonest) &&
+		    !strcmp (e->backend->service, service))
+			soonest = at;
+	}
+	return soonest;
+}
+
 cs_backend_t *
 cs_fleet_take_undoubted (cs_fleet_t *f, int64_t now_ms)
 {
--- a/packages/decide/src/fleet_memory.h
+++ b/packages/decide/src/fleet_memory.h
@@ -9,6 +9,7 @@
 	uint64_t born;       /* the newest incarnation that is known */
 	uint64_t heartbeats; /* the most that it has described itself with */
 	bool is_leaving;
+	int64_t turned_away_until_ms; /* it wants no requests of this daemon until then */
 	bool is_listed;
 	int64_t unlisted_ms;
 	cs_backend_t *doubted; /* listed again as it was; NULL: none */
--- a/packages/decide/tests/test_fleet.c
+++ b/packages/decide/tests/test_fleet.c
@@ -250,14 +250,56 @@
 	}
 }
 
+/* Guards against requests to a back end that has turned this daemon away, and against keeping out
+ * its next incarnation. */
+static void
+test_turned_away (void **state)
+{
+	static const struct {
+		const char *name;
+		uint64_t said_by; /* incarnation */
+		int64_t until_ms[2];
+		uint64_t listed; /* incarnation that is listed afterwards */
+		bool draining;
+		int64_t until;
+		int64_t soonest; /* at 100 ms */
+	} cases[] = {
+		{"turned away", 1, {500}, 1, false, 500, 500},
+		{"again, for longer", 1, {500, 900}, 1, false, 900, 900},
+		{"again, for a shorter time", 1, {500, 300}, 1, false, 500, 500},
+		{"the time has passed", 1, {50}, 1, false, 50, 0},
+		{"by an earlier incarnation", 9, {500}, 1, false, 0, 0},
+		{"started anew under its id", 1, {500}, 2, false, 0, 0},
+		{"drains, and will not return", 1, {500}, 1, true, 500, 0},
+	};
+	(void)state;
+	for (size_t i = 0; i < CS_ARRAY_LEN (cases); i++) {
+		cs_fleet_t f;
+		cs_fleet_init (&f);
+		for (int k = 0; k < 2; k++) {
+			cs_backend_t *b = make_member ("a", "", 0, 0, CS_MEMBERSHIP_NONE);
+			b->born = k ? cases[i].listed : 1;
+			b->draining = k && cases[i].draining;
+			cs_fleet_set (&f, 10, b);
+			for (int n = 0; n < 2 && !k; n++)
+				cs_fleet_turn_away (&f, "a", cases[i].said_by,
+						    cases[i].until_ms[n]);
+		}
+		print_message ("%s\n", cases[i].name);
+		assert_int_equal (cs_fleet_turned_away_until_ms (&f, "a"), cases[i].until);
+		assert_int_equal (cs_fleet_soonest_return_ms (&f, 100, "llm"), cases[i].soonest);
+		assert_int_equal (cs_fleet_soonest_return_ms (&f, 100, "other"), 0);
+		cs_fleet_finish (&f);
+	}
+}
+
 int
 main (void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test (test_group_complete),
-		cmocka_unit_test (test_head),
-		cmocka_unit_test (test_expiry),
-		cmocka_unit_test (test_older_copy),
+		cmocka_unit_test (test_group_complete), cmocka_unit_test (test_head),
+		cmocka_unit_test (test_expiry),         cmocka_unit_test (test_older_copy),
+		cmocka_unit_test (test_turned_away),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/packages/former/src/former.c
+++ b/packages/former/src/former.c
@@ -224,6 +224,11 @@
 		cs_fleet_set_leaving (&f->fleet, cs_now_ms (), ((cs_backend_said_msg_t *)m)->id,
 				      ((cs_backend_said_msg_t *)m)->born);
 		break;
+	case CS_HOST_TURNED_AWAY:
+		cs_fleet_turn_away (&f->fleet, ((cs_backend_said_msg_t *)m)->id,
+				    ((cs_backend_said_msg_t *)m)->born,
+				    ((cs_backend_said_msg_t *)m)->until_ms);
+		break;
 	case CS_HOST_LIST_STATE:
 		cs_fleet_set_list_reachable (&f->fleet, cs_now_ms (),
 					     ((cs_state_msg_t *)m)->is_true);
--- a/packages/former/src/send_action.c
+++ b/packages/former/src/send_action.c
@@ -12,7 +12,8 @@
 	ORDER_TIMEOUT_MS = 1000, /* after that the order may still be carried out */
 	CONNECT_TIMEOUT_MS = 500,
 	MAX_REPLY_BYTES = 64 << 10, /* a longer reply is no report */
-	STATUS_MISDIRECTED = 421
+	STATUS_MISDIRECTED = 421,
+	STATUS_UNAVAILABLE = 503
 };
 
 typedef struct {
@@ -22,6 +23,7 @@
 	uint64_t epoch;
 	char *id;
 	uint64_t born; /* of the back end as it is listed; 0: unknown */
+	uint32_t retry_after_ms;
 	cs_buf_t url;
 	cs_buf_t body;
 	cs_buf_t expected;
@@ -33,19 +35,40 @@
 static cs_counter_t orders = {.name = "cs_former_orders_total",
 			      .help = "Orders sent to back ends."};
 
-/* Any answer may say so, also that to a probe or an order. */
+static bool
+is_named (cs_str_t name, const char *expected)
+{
+	return name.n == strlen (expected) && cs_str_starts_nocase (name, expected);
+}
+
+/* Any answer may say that its back end leaves, also that to a probe or an order. */
 static void
 on_header (cs_http_call_t *call, cs_str_t name, cs_str_t value)
 {
-	const order_t *o = call->data;
+	order_t *o = call->data;
 	cs_former_t *f = o->former;
-	const char *leaving = f->host->adapter->headers->leaving;
-	if (!value.n || name.n != strlen (leaving) || !cs_str_starts_nocase (name, leaving) ||
+	const cs_adapter_t *adapter = f->host->adapter;
+	if (is_named (name, adapter->headers->retry_after))
+		adapter->decode_retry_after (value, &o->retry_after_ms);
+	if (!value.n || !is_named (name, adapter->headers->leaving) ||
 	    !cs_fleet_set_leaving (&f->fleet, cs_now_ms (), o->id, o->born))
 		return;
 	cs_log_event ("list", "says_leaving", "id=%s born=%" PRIu64, o->id, o->born);
 	cs_send (f->task, cs_task_find (f->task->kernel, "forward"),
-		 &cs_backend_said_msg (CS_HOST_LEAVING, o->id, o->born)->msg);
+		 &cs_backend_said_msg (CS_HOST_LEAVING, o->id, o->born, 0)->msg);
+}
+
+static void
+record_turned_away (const order_t *o)
+{
+	cs_former_t *f = o->former;
+	int64_t until_ms = cs_now_ms () + o->retry_after_ms;
+	if (!o->retry_after_ms || !cs_fleet_turn_away (&f->fleet, o->id, o->born, until_ms))
+		return;
+	cs_log_event ("list", "turned_away", "id=%s born=%" PRIu64 " for_ms=%u", o->id, o->born,
+		      o->retry_after_ms);
+	cs_send (f->task, cs_task_find (f->task->kernel, "forward"),
+		 &cs_backend_said_msg (CS_HOST_TURNED_AWAY, o->id, o->born, until_ms)->msg);
 }
 
 static void
@@ -95,6 +118,8 @@
 			      "order=%s backend=%s epoch=%" PRIu64 " status=%d end=%d reply=%.120s",
 			      order_names[o->kind], o->id, o->epoch, status, (int)end,
 			      o->reply.p && status != 200 ? o->reply.p : "");
+	if (end == CS_HTTP_DONE && status == STATUS_UNAVAILABLE)
+		record_turned_away (o);
 	if (o->kind == CS_FORM_OPEN && end == CS_HTTP_DONE)
 		cs_formation_open_answered (&o->former->formation, cs_now_ms (), o->epoch,
 					    status < 300);
@@ -157,14 +182,23 @@
 	cs_send (f->task, f->store, &cs_note_msg (f->host->name, &note)->msg);
 }
 
+/* True if the back end wants nothing from this daemon now. Closing a head that lacks a member does
+ * not wait. */
+static bool
+is_held_back (const cs_former_t *f, const cs_form_action_t *a)
+{
+	return a->kind != CS_FORM_CLOSE &&
+	       cs_fleet_turned_away_until_ms (&f->fleet, a->id) > cs_now_ms ();
+}
+
 void
 cs_former_send (cs_former_t *f, const cs_form_action_t *a)
 {
 	const cs_adapter_t *adapter = f->host->adapter;
 	const char *address = find_address (f, a);
 	bool is_probe = a->kind == CS_FORM_PROBE;
-	if (!address)
-		return;
+	if (!address || (is_probe && is_held_back (f, a)))
+		return; /* no silence: nothing was asked */
 	if (a->kind == CS_FORM_ASK_DAEMONS) {
 		cs_log_event ("former", "asked", "head=%s epoch=%" PRIu64, a->id, a->group->epoch);
 		ask_daemons (f, a, address);
@@ -204,6 +238,6 @@
 	cs_log_event ("former", "ordered",
 		      "order=%d backend=%s group=%s epoch=%" PRIu64 " reason=\"%s\"", (int)a->kind,
 		      a->id, a->group ? a->group->name : "", o->epoch, a->reason);
-	if (cs_http_start (&f->http, &o->http) != CS_OK)
+	if (is_held_back (f, a) || cs_http_start (&f->http, &o->http) != CS_OK)
 		on_end (&o->http, CS_HTTP_NOT_SENT, 0);
 }
--- a/packages/forward/src/backend_request.c
+++ b/packages/forward/src/backend_request.c
@@ -245,8 +245,7 @@
 {
 	cs_backend_request_t *s = http->data;
 	s->status = status;
-	if (cs_headers_find (&s->answer_headers, s->call->forward->names->leaving).n)
-		cs_said_leaving (s->call->forward, s->backend_id, s->born);
+	cs_said_in_head (s);
 	s->is_stream = s->call->route->kind == CS_KIND_STREAM && status == 200 &&
 		       cs_str_starts_nocase (content_type, "text/event-stream");
 	const cs_attempt_t answered = result_of (s, CS_ATTEMPT_ANSWERED);
--- a/packages/forward/src/dispatch.c
+++ b/packages/forward/src/dispatch.c
@@ -11,7 +11,9 @@
 	STATUS_UNAVAILABLE = 503,
 	NO_TARGET_RETRY_MS =
 		1000, /* a group is repaired in about this time if the weights are still cached */
-	BUSY_RETRY_MS = 400 /* some requests end within this time */
+	BUSY_RETRY_MS = 400, /* some requests end within this time */
+	MAX_RETRY_AFTER_MS =
+		30000 /* a back end may return, or another one start, before its time */
 };
 
 static cs_status_t
@@ -67,6 +69,19 @@
 		cs_reply_own (c, STATUS_UNAVAILABLE, reason, retry_after_ms);
 }
 
+/* When a caller whom no back end serves may retry: as soon as the first one that has turned this
+ * daemon away takes requests again, or else within the time in which a group is repaired. */
+static uint32_t
+no_target_retry_ms (const cs_call_t *c, bool *turned_away)
+{
+	int64_t now = cs_now_ms ();
+	int64_t at = cs_fleet_soonest_return_ms (&c->forward->fleet, now, c->service);
+	*turned_away = at > 0;
+	if (!at)
+		return NO_TARGET_RETRY_MS;
+	return at - now < MAX_RETRY_AFTER_MS ? (uint32_t)(at - now) : MAX_RETRY_AFTER_MS;
+}
+
 /* No back end accepts the request now. Queues it if all are at capacity and nothing was tried
  * yet, else refuses it. */
 static void
@@ -76,8 +91,13 @@
 	if (status == CS_EXHAUSTED && !c->tries && cs_queue_add (c, service, &retry_after_ms))
 		return;
 	bool busy = status == CS_EXHAUSTED;
-	const char *reason = c->tries ? "no-other-back-end" : busy ? "busy" : "no-back-end";
-	cs_dispatch_refuse (c, reason, busy ? (uint32_t)retry_after_ms : NO_TARGET_RETRY_MS);
+	bool turned_away = false;
+	uint32_t ms = busy ? (uint32_t)retry_after_ms : no_target_retry_ms (c, &turned_away);
+	const char *reason = c->tries      ? "no-other-back-end"
+			     : busy        ? "busy"
+			     : turned_away ? "turned-away"
+					   : "no-back-end";
+	cs_dispatch_refuse (c, reason, ms);
 }
 
 /* Sends the request to the chosen back end. If none was chosen, or it cannot be used, queues or
--- a/packages/forward/src/forward.c
+++ b/packages/forward/src/forward.c
@@ -113,6 +113,7 @@
 {
 	cs_forward_t *f = task->state;
 	const cs_state_msg_t *state = (const cs_state_msg_t *)m;
+	const cs_backend_said_msg_t *said = (const cs_backend_said_msg_t *)m;
 	switch (m->kind) {
 	case CS_HOST_SERVING:
 		cs_serving_msg_apply ((cs_serving_msg_t *)m, &f->serving);
@@ -132,8 +133,10 @@
 		cs_notes_receive (f, cs_buf_str (&((cs_ledger_msg_t *)m)->bytes));
 		break;
 	case CS_HOST_LEAVING:
-		cs_said_leaving (f, ((cs_backend_said_msg_t *)m)->id,
-				 ((cs_backend_said_msg_t *)m)->born);
+		cs_said_leaving (f, said->id, said->born);
+		break;
+	case CS_HOST_TURNED_AWAY:
+		cs_said_turned_away (f, said->id, said->born, said->until_ms);
 		break;
 	case CS_HOST_SETTINGS_CHANGED:
 		cs_retry_set_percent (&f->retry, retry_percent (f));
--- a/packages/forward/src/forward.h
+++ b/packages/forward/src/forward.h
@@ -50,6 +50,8 @@
 	uint64_t last_number;
 	cs_wait_queue_t *queues; /* uthash by service: requests that wait for a free slot */
 	ev_timer queue_timer;    /* runs while requests are queued */
+	int64_t next_return_ms;  /* when the next back end that turned this daemon away takes
+				    requests;  0: none */
 	ev_timer tick;
 	int64_t stopping_ms; /* start of the graceful shutdown; 0: not stopping */
 	bool stopped;
@@ -207,6 +209,9 @@
 void cs_queue_record_attempt_end (cs_forward_t *f, const char *service);
 /* said.c: what back ends say of themselves in their answers. */
 void cs_said_leaving (cs_forward_t *f, const char *id, uint64_t born);
+void cs_said_turned_away (cs_forward_t *f, const char *id, uint64_t born, int64_t until_ms);
+/* Evaluates the head of an answer, of whatever request it is. */
+void cs_said_in_head (const cs_backend_request_t *s);
 /* targets.c: updates the router's targets from the fleet. */
 void cs_targets_refresh (cs_forward_t *f);
 /* Sets out to the router's name for a service and model: "SERVICE/MODEL". */
--- a/packages/forward/src/notes.c
+++ b/packages/forward/src/notes.c
@@ -79,6 +79,8 @@
 probe_head (cs_forward_t *f, const Cs__HeadQuestion *q)
 {
 	const cs_adapter_t *adapter = f->host->adapter;
+	if (cs_fleet_turned_away_until_ms (&f->fleet, q->head) > cs_now_ms ())
+		return;
 	head_probe_t *p = cs_alloc (sizeof *p);
 	p->forward = f;
 	p->epoch = q->epoch;
--- a/packages/forward/src/targets.c
+++ b/packages/forward/src/targets.c
@@ -14,6 +14,10 @@
 set_target (cs_forward_t *f, const cs_backend_t *b, const char *service, uint32_t slots,
 	    uint64_t fence, bool serving)
 {
+	int64_t until_ms = cs_fleet_turned_away_until_ms (&f->fleet, b->id);
+	bool turned_away = until_ms > cs_now_ms ();
+	if (turned_away && (!f->next_return_ms || until_ms < f->next_return_ms))
+		f->next_return_ms = until_ms;
 	const cs_target_info_t info = {
 		.name = b->id,
 		.service = service,
@@ -22,7 +26,7 @@
 		.fence = fence,
 		.max_concurrent = slots,
 		.serving = serving,
-		.leaving = b->draining,
+		.leaving = b->draining || turned_away,
 		.reachable = true,
 	};
 	cs_router_set_target (&f->router, cs_now_ms (), &info);
@@ -57,9 +61,11 @@
 void
 cs_targets_refresh (cs_forward_t *f)
 {
-	if (!f->targets_stale || !f->serving)
+	bool returned = f->next_return_ms && cs_now_ms () >= f->next_return_ms;
+	if ((!f->targets_stale && !returned) || !f->serving)
 		return;
 	f->targets_stale = false;
+	f->next_return_ms = 0;
 	cs_router_retain_targets (&f->router, is_listed, f);
 	for (const cs_fleet_entry_t *e = NULL; (e = cs_fleet_next (&f->fleet, e));)
 		refresh_target (f, e->backend);
--- a/packages/host/include/cs/host.h
+++ b/packages/host/include/cs/host.h
@@ -43,6 +43,7 @@
 	const char *last_event_id; /* the caller has received the stream up to this event */
 	const char *fault_at;      /* back end that prevents a group from working */
 	const char *leaving;       /* the back end that answers leaves */
+	const char *retry_after;   /* with 503: for how long the back end wants no requests */
 } cs_header_names_t;
 
 /* Content of a back end's response to a report request. */
@@ -63,6 +64,8 @@
 	bool (*decode_report) (cs_str_t body, cs_report_t *out);
 	/* Parses running and waiting requests from a load header; false if malformed. */
 	bool (*decode_load) (cs_str_t value, uint32_t *running, uint32_t *waiting);
+	/* Parses the time in a retry_after header; false if malformed. */
+	bool (*decode_retry_after) (cs_str_t value, uint32_t *ms);
 } cs_adapter_t;
 
 typedef struct {
--- a/packages/host/include/cs/host_messages.h
+++ b/packages/host/include/cs/host_messages.h
@@ -8,7 +8,7 @@
  *   former -> store            PROPOSE
  *   forward, former <-> store  NOTE, through the store to all daemons
  *   forward -> former          TRAFFIC
- *   forward <-> former         LEAVING
+ *   forward <-> former         LEAVING, TURNED_AWAY
  *   main   -> all              STOP, BOUNDS */
 #ifndef CS_HOST_MESSAGES_H
 #define CS_HOST_MESSAGES_H
@@ -28,7 +28,8 @@
 	CS_HOST_PROPOSED,
 	CS_HOST_NOTE,    /* cs_ledger_msg_t: a packed Note; `offset` is its position in the topic */
 	CS_HOST_LEAVING, /* a back end has said in an answer that it leaves */
-	CS_HOST_TRAFFIC, /* the first request of any caller has been received */
+	CS_HOST_TURNED_AWAY,      /* a back end wants no requests of this daemon for a time */
+	CS_HOST_TRAFFIC,          /* the first request of any caller has been received */
 	CS_HOST_SETTINGS_CHANGED, /* run-time settings have changed, see cs_host_apply_settings */
 	CS_HOST_STOP
 } cs_host_msg_kind_t;
@@ -50,6 +51,7 @@
 	cs_msg_t msg;
 	char *id;
 	uint64_t born;
+	int64_t until_ms; /* TURNED_AWAY; cs_now_ms clock */
 } cs_backend_said_msg_t;
 
 /* LIST_STATE: whether the list of back ends can be read. TURN: whether this daemon holds the
@@ -84,7 +86,8 @@
 /* Updates the fleet; false if nothing changed. */
 bool cs_backend_msg_apply (const cs_backend_msg_t *m, cs_fleet_t *fleet);
 /* Copies id. */
-cs_backend_said_msg_t *cs_backend_said_msg (int kind, const char *id, uint64_t born);
+cs_backend_said_msg_t *cs_backend_said_msg (int kind, const char *id, uint64_t born,
+					    int64_t until_ms);
 cs_state_msg_t *cs_state_msg (int kind, bool yes, int64_t until_ms);
 cs_ledger_msg_t *cs_ledger_msg (int kind, uint64_t offset, cs_str_t bytes, cs_status_t status);
 /* A NOTE for the store, packed from note. Sets note->from, which refers to `from` afterwards. */
--- a/packages/host/src/host_messages.c
+++ b/packages/host/src/host_messages.c
@@ -78,11 +78,12 @@
 }
 
 cs_backend_said_msg_t *
-cs_backend_said_msg (int kind, const char *id, uint64_t born)
+cs_backend_said_msg (int kind, const char *id, uint64_t born, int64_t until_ms)
 {
 	cs_backend_said_msg_t *m = cs_msg_new (sizeof *m, kind, free_backend_said_msg);
 	m->id = cs_str_dup (cs_str (id));
 	m->born = born;
+	m->until_ms = until_ms;
 	return m;
 }
 
