hosted: refuse contents that crash the back ends that run them, at all daemons

A request under which three back ends had ended was sent to others again and again (BUDGET): its caller comes back under a new id, at any daemon.

Cause: nothing on the hosted platform counted back ends that end under a request; the count of the own way of serving (decide/poison) needs an ordered log and groups. What a daemon saw it knew alone.

Change: decide/crash_counts counts, per content (team, path and body), the incarnations whose connection broke under it. A break counts until the back end answers something else, and for good once the list shows that the incarnation has ended. With three the content is refused with 503 before it is sent; a repeat of the same request ends there too. Breaks go to all daemons by notes, batched per back end and bounded by the notices' rate; a content that is refused for good is written to a keyed topic, which daemons list at their start and after the store went back, when whoever knows what is missing writes it again. An answer to the content clears it.

Weighed: refusing on three breaks alone (a reset of connections would refuse a common request everywhere); asking back ends whether they live (probes are priced, and a plain service has no report).

--- /dev/null
+++ b/packages/decide/tests/test_crash_counts.c
@@ -0,0 +1,209 @@
+/* Guards against a content that keeps crashing back ends, and against refusing one that does not.
+ */
+#include <string.h>
+
+#include "cs/crash_counts.h"
+#include "cs_test.h"
+
+enum {
+	MAX_BACK_ENDS = 8
+};
+
+typedef struct {
+	int64_t at_ms; /* 0: the end */
+	enum {
+		BREAKS,
+		ENDED,
+		ANSWERS_OTHER,
+		ANSWERED,
+		TOLD_REFUSED
+	} what;
+	int back_end;
+	uint64_t born;
+} step_t;
+
+static const struct {
+	const char *name;
+	step_t steps[8];
+	bool refused;       /* right after the last step */
+	bool refused_later; /* 100 s later */
+	bool unpublished;   /* others are to be told */
+} cases[] = {
+	{"two back ends ended",
+	 {{10, BREAKS, 1, 1}, {20, BREAKS, 2, 1}, {630, ENDED, 1, 1}, {640, ENDED, 2, 1}},
+	 false,
+	 false,
+	 false},
+	{"three connections broke, nothing heard since",
+	 {{10, BREAKS, 1, 1}, {20, BREAKS, 2, 1}, {30, BREAKS, 3, 1}},
+	 true,
+	 false,
+	 false},
+	{"three ended",
+	 {{10, BREAKS, 1, 1},
+	  {20, BREAKS, 2, 1},
+	  {30, BREAKS, 3, 1},
+	  {640, ENDED, 1, 1},
+	  {650, ENDED, 2, 1},
+	  {660, ENDED, 3, 1}},
+	 true,
+	 true,
+	 true},
+	{"three connections broke, one back end answers others",
+	 {{10, BREAKS, 1, 1}, {20, BREAKS, 2, 1}, {30, BREAKS, 3, 1}, {40, ANSWERS_OTHER, 2, 1}},
+	 false,
+	 false,
+	 false},
+	{"answered others before it broke",
+	 {{5, ANSWERS_OTHER, 2, 1}, {10, BREAKS, 1, 1}, {20, BREAKS, 2, 1}, {30, BREAKS, 3, 1}},
+	 true,
+	 false,
+	 false},
+	{"started anew under its id and answers others",
+	 {{10, BREAKS, 1, 1},
+	  {20, BREAKS, 2, 1},
+	  {30, BREAKS, 3, 1},
+	  {640, ENDED, 2, 1},
+	  {650, ANSWERS_OTHER, 2, 2}},
+	 true,
+	 false,
+	 false},
+	{"one back end three times, in three lives",
+	 {{10, BREAKS, 1, 1}, {20, BREAKS, 1, 2}, {30, BREAKS, 1, 3}},
+	 true,
+	 false,
+	 false},
+	{"one life, seen by three daemons",
+	 {{10, BREAKS, 1, 1}, {20, BREAKS, 1, 1}, {30, BREAKS, 1, 1}},
+	 false,
+	 false,
+	 false},
+	{"the content is answered in between",
+	 {{10, BREAKS, 1, 1}, {20, BREAKS, 2, 1}, {25, ANSWERED, 0, 0}, {30, BREAKS, 3, 1}},
+	 false,
+	 false,
+	 false},
+	{"three crashes over a long time",
+	 {{10, BREAKS, 1, 1},
+	  {20, BREAKS, 2, 1},
+	  {630, ENDED, 1, 1},
+	  {640, ENDED, 2, 1},
+	  {CS_CRASH_WINDOW_MS + 100, BREAKS, 3, 1},
+	  {CS_CRASH_WINDOW_MS + 800, ENDED, 3, 1}},
+	 false,
+	 false,
+	 false},
+	{"broke at a back end that is not listed here yet",
+	 {{10, BREAKS, 1, 1}, {20, BREAKS, 2, 1}, {30, BREAKS, 3, 1}, {40, ENDED, 1, 0}},
+	 true,
+	 false,
+	 false},
+	{"another daemon refuses it", {{10, TOLD_REFUSED, 0, 0}}, true, true, false},
+};
+
+typedef struct {
+	int64_t answered_ms[MAX_BACK_ENDS];
+	uint64_t ended[MAX_BACK_ENDS]; /* the newest incarnation that has ended */
+} known_t;
+
+static int64_t
+answered_ms (void *data, const char *back_end)
+{
+	const known_t *known = data;
+	return known->answered_ms[back_end[0] - '0'];
+}
+
+static bool
+is_listed (void *data, const char *back_end, uint64_t born)
+{
+	const known_t *known = data;
+	return born > known->ended[back_end[0] - '0'];
+}
+
+static const cs_crash_evidence_ops_t evidence = {answered_ms, is_listed};
+
+static void
+take_step (cs_crash_counts_t *c, known_t *known, const step_t *s)
+{
+	const char name[] = {(char)('0' + s->back_end), 0};
+	switch (s->what) {
+	case BREAKS:
+		cs_crash_counts_add (c, s->at_ms, 7, name, s->born);
+		break;
+	case ENDED:
+		known->ended[s->back_end] = s->born;
+		cs_crash_counts_review (c, s->at_ms);
+		break;
+	case ANSWERS_OTHER:
+		known->answered_ms[s->back_end] = s->at_ms;
+		break;
+	case ANSWERED:
+		cs_crash_counts_answered (c, 7);
+		break;
+	case TOLD_REFUSED:
+		cs_crash_counts_refuse (c, s->at_ms, 7, s->at_ms + INT64_C (1000000000));
+		break;
+	}
+}
+
+static void
+test_contents (void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < CS_ARRAY_LEN (cases); i++) {
+		cs_crash_counts_t c;
+		known_t known = {0};
+		int64_t now = 0;
+		uint64_t content = 0;
+		print_message ("%s\n", cases[i].name);
+		cs_crash_counts_init (&c, &evidence, &known);
+		for (const step_t *s = cases[i].steps; s->at_ms; s++) {
+			take_step (&c, &known, s);
+			now = s->at_ms;
+		}
+		assert_int_equal (cs_crash_counts_refused_until_ms (&c, now, 7) > now,
+				  cases[i].refused);
+		assert_int_equal (cs_crash_counts_refused_until_ms (&c, now, 8), 0);
+		assert_int_equal (cs_crash_counts_next_unpublished (&c, now, &content),
+				  cases[i].unpublished);
+		assert_false (cs_crash_counts_next_unpublished (&c, now, &content));
+		now += 100000;
+		cs_crash_counts_review (&c, now);
+		assert_int_equal (cs_crash_counts_refused_until_ms (&c, now, 7) > now,
+				  cases[i].refused_later);
+		cs_crash_counts_unpublish (&c);
+		assert_int_equal (cs_crash_counts_next_unpublished (&c, now, &content),
+				  cases[i].refused_later);
+		now += CS_CRASH_REFUSED_MS;
+		cs_crash_counts_review (&c, now);
+		assert_null (c.contents);
+		cs_crash_counts_finish (&c);
+	}
+}
+
+static void
+test_bounded (void **state)
+{
+	cs_crash_counts_t c;
+	known_t known = {0};
+	(void)state;
+	cs_crash_counts_init (&c, &evidence, &known);
+	for (uint64_t content = 0; content < 3 * CS_CRASH_MAX_CONTENTS; content++)
+		cs_crash_counts_refuse (&c, 1, content, 1000);
+	assert_int_equal (cs_crash_counts_refused_until_ms (&c, 2, 0), 0);
+	assert_int_equal (cs_crash_counts_refused_until_ms (&c, 2, 3 * CS_CRASH_MAX_CONTENTS - 1),
+			  1000);
+	cs_crash_counts_review (&c, 1000);
+	assert_null (c.contents);
+	cs_crash_counts_finish (&c);
+}
+
+int
+main (void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test (test_contents),
+		cmocka_unit_test (test_bounded),
+	};
+	return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/packages/forward/src/attempt_end.c
+++ b/packages/forward/src/attempt_end.c
@@ -7,6 +7,7 @@
 #include "forward.h"
 
 enum {
+	STATUS_SERVER_ERROR = 500,
 	STATUS_BAD_GATEWAY = 502,
 	STATUS_UNAVAILABLE = 503,
 	STATUS_TIMEOUT = 504,
@@ -61,6 +62,10 @@
 		cs_suspects_record_answer (&f->suspects, now, s->backend_id);
 	else if (!s->call->abandoned && !s->is_blameless && a->end != CS_ATTEMPT_TIMEOUT)
 		record_failure (s, a, now);
+	if (answered && cs_outcome_run (a) == CS_RUN_YES && a->status < STATUS_SERVER_ERROR)
+		cs_crashes_record_answer (s->call);
+	else if (a->end == CS_ATTEMPT_BROKEN && !s->malformed && !s->call->abandoned)
+		cs_crashes_record_break (s);
 	if (a->end == CS_ATTEMPT_SILENT && !s->first_us)
 		cs_answer_timeout_record_timeout (&f->answer_timeout, now, s->service);
 	if (f->host->adapter->decode_load (cs_headers_find (&s->answer_headers, f->names->load),
@@ -160,6 +165,7 @@
 {
 	cs_call_t *c = s->call;
 	int64_t delay_ms = s->retry_delay_ms;
+	uint32_t retry_after_ms;
 	record_result (s, a);
 	cs_queue_record_attempt_end (c->forward, s->service);
 	cs_counts_attempt_ended (a);
@@ -168,7 +174,7 @@
 		cs_request_state_t state = cs_call_state (c);
 		cs_next_step_t then = cs_outcome_next_step (a, &state);
 		if ((then == CS_NEXT_RETRY || then == CS_NEXT_RESUME) && !s->retry_granted &&
-		    !acquire_retry (c, &delay_ms)) {
+		    (cs_crashes_is_refused (c, &retry_after_ms) || !acquire_retry (c, &delay_ms))) {
 			state.may_repeat = false;
 			then = cs_outcome_next_step (a, &state);
 		}
--- /dev/null
+++ b/packages/forward/src/crashes.c
@@ -0,0 +1,113 @@
+/* Contents that crash back ends: what this daemon sees and hears of them, and whom it tells. A
+ * content that is refused for good is kept in the store, as its next sender may come to a daemon
+ * that starts later. */
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cs/counters.h"
+#include "cs/log.h"
+#include "forward.h"
+
+enum {
+	MAX_PUBLISH_DELAY_MS =
+		500 /* drawn, so that one of the daemons that know tells the others */
+};
+
+static cs_counter_t refused_contents = {
+	.name = "cs_forward_contents_refused_total",
+	.help = "Contents that were found to crash back ends, by this daemon."};
+
+static int64_t
+answered_ms (void *data, const char *back_end)
+{
+	const cs_forward_t *f = data;
+	return cs_suspects_answered_ms (&f->suspects, back_end);
+}
+
+static bool
+is_listed (void *data, const char *back_end, uint64_t born)
+{
+	const cs_forward_t *f = data;
+	const cs_backend_t *b = cs_fleet_find (&f->fleet, back_end);
+	return b && b->born == born;
+}
+
+static const cs_crash_evidence_ops_t evidence = {answered_ms, is_listed};
+
+void
+cs_crashes_init (cs_forward_t *f)
+{
+	cs_crash_counts_init (&f->crashes, &evidence, f);
+}
+
+void
+cs_crashes_record_break (const cs_backend_request_t *s)
+{
+	cs_forward_t *f = s->call->forward;
+	if (!cs_crash_counts_add (&f->crashes, cs_now_ms (), s->call->content, s->backend_id,
+				  s->born))
+		return;
+	cs_log_event ("forward", "broke_under_content",
+		      "id=%.*s back_end=%s born=%" PRIu64 " content=%016" PRIx64,
+		      CS_STR_ARG (cs_call_id (s->call)), s->backend_id, s->born, s->call->content);
+	cs_notes_add_break (f, s->backend_id, s->born, s->call->content);
+}
+
+void
+cs_crashes_record_answer (const cs_call_t *c)
+{
+	cs_forward_t *f = c->forward;
+	if (cs_crash_counts_answered (&f->crashes, c->content) &&
+	    cs_notices_try_acquire (&f->notices, cs_now_ms (), f->list_unreachable))
+		cs_notes_publish_content (f, c->content, false);
+}
+
+bool
+cs_crashes_is_refused (const cs_call_t *c, uint32_t *retry_after_ms)
+{
+	int64_t now = cs_now_ms ();
+	int64_t until_ms = cs_crash_counts_refused_until_ms (&c->forward->crashes, now, c->content);
+	if (until_ms <= now)
+		return false;
+	*retry_after_ms = (uint32_t)(until_ms - now);
+	return true;
+}
+
+static void
+publish (cs_forward_t *f, uint64_t content)
+{
+	cs_log_event ("forward", "content_refused", "content=%016" PRIx64, content);
+	cs_counter_add (&refused_contents, 1);
+	cs_notes_publish_content (f, content, true);
+	cs_send (f->task, cs_task_find (f->task->kernel, "store"),
+		 &cs_content_msg (CS_HOST_REFUSED_CONTENT, content,
+				  cs_now_ms () + CS_CRASH_REFUSED_MS)
+			  ->msg);
+}
+
+void
+cs_crashes_tick (cs_forward_t *f, int64_t now_ms)
+{
+	uint64_t content;
+	cs_crash_counts_review (&f->crashes, now_ms);
+	if (!f->list_unreachable && now_ms >= f->publish_contents_ms &&
+	    cs_crash_counts_next_unpublished (&f->crashes, now_ms, &content)) {
+		publish (f, content);
+		f->publish_contents_ms = now_ms + cs_rng_below (&f->rng, MAX_PUBLISH_DELAY_MS);
+	}
+}
+
+void
+cs_crashes_receive_kept (cs_forward_t *f, const cs_content_msg_t *m)
+{
+	int64_t now = cs_now_ms ();
+	if (!m->content) { /* the kept ones follow: those that are missing were lost */
+		cs_crash_counts_unpublish (&f->crashes);
+		f->publish_contents_ms = now + cs_rng_below (&f->rng, MAX_PUBLISH_DELAY_MS);
+		return;
+	}
+	cs_log_event ("forward", "content_kept", "content=%016" PRIx64 " for_ms=%lld", m->content,
+		      (long long)(m->until_ms - now));
+	cs_crash_counts_refuse (&f->crashes, now, m->content, m->until_ms);
+}
--- a/packages/forward/src/dispatch.c
+++ b/packages/forward/src/dispatch.c
@@ -111,6 +111,17 @@
 		queue_or_refuse (c, status, service);
 }
 
+/* Refuses a request whose content crashes the back ends that run it. */
+static bool
+refuse_crashing (cs_call_t *c)
+{
+	uint32_t retry_after_ms;
+	if (!cs_crashes_is_refused (c, &retry_after_ms))
+		return false;
+	cs_dispatch_refuse (c, "crashes-back-ends", retry_after_ms);
+	return true;
+}
+
 bool
 cs_dispatch_queued (cs_call_t *c, const char *service)
 {
@@ -120,6 +131,8 @@
 	if (status == CS_EXHAUSTED)
 		return false;
 	c->queue = NULL;
+	if (refuse_crashing (c))
+		return true;
 	send_or_refuse (c, status, service, &chosen);
 	return true;
 }
@@ -132,6 +145,8 @@
 	cs_buf_t service;
 	if (c->abandoned || c->ended)
 		return;
+	if (refuse_crashing (c))
+		return;
 	cs_targets_refresh (f);
 	cs_buf_init (&service);
 	const cs_serving_service_t *declared = cs_serving_find_service (c->serving, c->service);
--- a/packages/forward/src/forward.c
+++ b/packages/forward/src/forward.c
@@ -44,6 +44,7 @@
 		f->targets_stale = true;
 	cs_router_update_ejections (&f->router, now);
 	cs_suspects_remove_stale (&f->suspects, now);
+	cs_crashes_tick (f, now);
 	exit_when_drained (f);
 }
 
@@ -73,6 +74,8 @@
 	cs_suspects_init (&f->suspects);
 	cs_answer_timeout_init (&f->answer_timeout);
 	cs_notices_init (&f->notices);
+	cs_notes_init (f);
+	cs_crashes_init (f);
 	cs_answer_memory_init (&f->answer_memory, ANSWER_MEMORY_BYTES);
 	cs_router_init (&f->router, &router);
 	cs_retry_init (&f->retry, &retry);
@@ -138,6 +141,9 @@
 	case CS_HOST_TURNED_AWAY:
 		cs_said_turned_away (f, said->id, said->born, said->until_ms);
 		break;
+	case CS_HOST_REFUSED_CONTENT:
+		cs_crashes_receive_kept (f, (cs_content_msg_t *)m);
+		break;
 	case CS_HOST_SETTINGS_CHANGED:
 		cs_retry_set_percent (&f->retry, retry_percent (f));
 		break;
@@ -161,6 +167,8 @@
 	cs_queue_finish (f);
 	cs_router_finish (&f->router);
 	cs_suspects_finish (&f->suspects);
+	cs_notes_finish (f);
+	cs_crash_counts_finish (&f->crashes);
 	cs_answer_timeout_finish (&f->answer_timeout);
 	cs_fleet_finish (&f->fleet);
 	if (f->serving)
--- a/packages/forward/src/forward.h
+++ b/packages/forward/src/forward.h
@@ -9,6 +9,7 @@
 #include "cs/admission.h"
 #include "cs/answer_memory.h"
 #include "cs/answer_timeout.h"
+#include "cs/crash_counts.h"
 #include "cs/fleet.h"
 #include "cs/host.h"
 #include "cs/host_messages.h"
@@ -25,6 +26,7 @@
 
 typedef struct cs_call cs_call_t;
 typedef struct cs_wait_queue cs_wait_queue_t;
+typedef struct cs_broken_note cs_broken_note_t;
 
 typedef struct {
 	cs_task_t *task;
@@ -44,6 +46,10 @@
 	cs_suspects_t suspects;
 	cs_answer_timeout_t answer_timeout;
 	cs_notices_t notices;
+	cs_crash_counts_t crashes;
+	int64_t publish_contents_ms;    /* not before then */
+	cs_broken_note_t *broken_notes; /* not published yet */
+	ev_timer broken_timer;
 	cs_answer_memory_t answer_memory;
 	cs_rng_t rng;
 	cs_call_t *calls;
@@ -249,7 +255,25 @@
 void cs_reply_resume (cs_call_t *c);
 /* notes.c: notes that daemons exchange about groups. */
 void cs_notes_publish_silent (cs_forward_t *f, const cs_backend_t *head);
+/* Publishes, after a moment in which more of them come, that the back end broke under the content.
+ */
+void cs_notes_add_break (cs_forward_t *f, const char *back_end, uint64_t born, uint64_t content);
+/* Publishes that the content crashes back ends, or that it does not. */
+void cs_notes_publish_content (cs_forward_t *f, uint64_t content, bool is_refused);
+void cs_notes_init (cs_forward_t *f);
+void cs_notes_finish (cs_forward_t *f);
 void cs_notes_receive (cs_forward_t *f, cs_str_t bytes);
+/* crashes.c: contents that crash back ends */
+void cs_crashes_init (cs_forward_t *f);
+/* Records that the connection broke while the back end ran the request. */
+void cs_crashes_record_break (const cs_backend_request_t *s);
+/* Records that a back end answered the request. */
+void cs_crashes_record_answer (const cs_call_t *c);
+bool cs_crashes_is_refused (const cs_call_t *c, uint32_t *retry_after_ms);
+/* Tells other daemons what this one has found; called at each tick. */
+void cs_crashes_tick (cs_forward_t *f, int64_t now_ms);
+/* Takes over a content that the store keeps. */
+void cs_crashes_receive_kept (cs_forward_t *f, const cs_content_msg_t *m);
 /* request_metrics.c */
 void cs_counts_request_ended (const cs_call_t *c);
 void cs_counts_attempt_ended (const cs_attempt_t *result);
--- a/packages/forward/src/notes.c
+++ b/packages/forward/src/notes.c
@@ -9,6 +9,8 @@
 
 enum {
 	PROBE_TIMEOUT_MS = 400, /* a working head answers within a few ms */
+	BATCH_MS = 30,          /* the connections of a back end that ends break within this time */
+	MAX_BATCH = 32,         /* contents of one note; a back end runs fewer of one daemon */
 	RECENT_ANSWER_MS = 400  /* an answer received here this recently outweighs a failure seen by
 				   another daemon */
 };
@@ -24,6 +26,14 @@
 	const char *headers[2];
 } head_probe_t;
 
+struct cs_broken_note {
+	char *back_end;
+	uint64_t born;
+	uint64_t contents[MAX_BATCH];
+	size_t n;
+	cs_broken_note_t *next;
+};
+
 static void
 publish_note (cs_forward_t *f, Cs__Note *note)
 {
@@ -118,6 +128,112 @@
 	cs_suspects_record_failure (&f->suspects, now, s->head, s->epoch);
 }
 
+static cs_broken_note_t *
+find_or_add_broken (cs_forward_t *f, const char *back_end, uint64_t born)
+{
+	cs_broken_note_t *b = f->broken_notes;
+	while (b && (b->born != born || strcmp (b->back_end, back_end) != 0))
+		b = b->next;
+	if (b)
+		return b;
+	b = cs_alloc (sizeof *b);
+	b->back_end = cs_str_dup (cs_str (back_end));
+	b->born = born;
+	b->next = f->broken_notes;
+	f->broken_notes = b;
+	return b;
+}
+
+static cs_broken_note_t *
+free_broken (cs_broken_note_t *b)
+{
+	cs_broken_note_t *next = b->next;
+	free (b->back_end);
+	free (b);
+	return next;
+}
+
+static void
+publish_broken (cs_forward_t *f, cs_broken_note_t *b)
+{
+	Cs__Broken broken = CS__BROKEN__INIT;
+	Cs__Note note = CS__NOTE__INIT;
+	broken.back_end = b->back_end;
+	broken.born = b->born;
+	broken.contents = b->contents;
+	broken.n_contents = b->n;
+	note.body_case = CS__NOTE__BODY_BROKEN;
+	note.broken = &broken;
+	if (cs_notices_try_acquire (&f->notices, cs_now_ms (), f->list_unreachable))
+		publish_note (f, &note);
+}
+
+static void
+on_broken_timer (struct ev_loop *loop, ev_timer *w, int events)
+{
+	cs_forward_t *f = w->data;
+	(void)loop;
+	(void)events;
+	for (cs_broken_note_t *b = f->broken_notes; b; b = free_broken (b))
+		publish_broken (f, b);
+	f->broken_notes = NULL;
+}
+
+void
+cs_notes_add_break (cs_forward_t *f, const char *back_end, uint64_t born, uint64_t content)
+{
+	cs_broken_note_t *b = find_or_add_broken (f, back_end, born);
+	if (b->n < MAX_BATCH)
+		b->contents[b->n++] = content;
+	if (!ev_is_active (&f->broken_timer))
+		cs_timer_start_after (f->task->kernel->loop, &f->broken_timer, BATCH_MS);
+}
+
+void
+cs_notes_publish_content (cs_forward_t *f, uint64_t content, bool is_refused)
+{
+	Cs__ContentVerdict verdict = CS__CONTENT_VERDICT__INIT;
+	Cs__Note note = CS__NOTE__INIT;
+	verdict.content = content;
+	verdict.is_refused = is_refused;
+	note.body_case = CS__NOTE__BODY_VERDICT;
+	note.verdict = &verdict;
+	publish_note (f, &note);
+}
+
+void
+cs_notes_init (cs_forward_t *f)
+{
+	ev_init (&f->broken_timer, on_broken_timer);
+	f->broken_timer.data = f;
+}
+
+void
+cs_notes_finish (cs_forward_t *f)
+{
+	ev_timer_stop (f->task->kernel->loop, &f->broken_timer);
+	while (f->broken_notes)
+		f->broken_notes = free_broken (f->broken_notes);
+}
+
+static void
+apply_broken (cs_forward_t *f, const Cs__Broken *b)
+{
+	for (size_t i = 0; i < b->n_contents; i++)
+		cs_crash_counts_add (&f->crashes, cs_now_ms (), b->contents[i], b->back_end,
+				     b->born);
+}
+
+static void
+apply_verdict (cs_forward_t *f, const Cs__ContentVerdict *v)
+{
+	int64_t now = cs_now_ms ();
+	if (v->is_refused)
+		cs_crash_counts_refuse (&f->crashes, now, v->content, now + CS_CRASH_REFUSED_MS);
+	else
+		cs_crash_counts_answered (&f->crashes, v->content);
+}
+
 void
 cs_notes_receive (cs_forward_t *f, cs_str_t bytes)
 {
@@ -130,5 +246,9 @@
 		apply_silent (f, note);
 	else if (note->body_case == CS__NOTE__BODY_QUESTION)
 		probe_head (f, note->question);
+	else if (note->body_case == CS__NOTE__BODY_BROKEN)
+		apply_broken (f, note->broken);
+	else if (note->body_case == CS__NOTE__BODY_VERDICT)
+		apply_verdict (f, note->verdict);
 	cs__note__free_unpacked (note, NULL);
 }
--- a/packages/host/src/host_messages.c
+++ b/packages/host/src/host_messages.c
@@ -87,6 +87,15 @@
 	return m;
 }
 
+cs_content_msg_t *
+cs_content_msg (int kind, uint64_t content, int64_t until_ms)
+{
+	cs_content_msg_t *m = cs_msg_new (sizeof *m, kind, cs_msg_free);
+	m->content = content;
+	m->until_ms = until_ms;
+	return m;
+}
+
 cs_state_msg_t *
 cs_state_msg (int kind, bool yes, int64_t until_ms)
 {
--- a/packages/wire/include/cs/note.pb-c.h
+++ b/packages/wire/include/cs/note.pb-c.h
@@ -17,6 +17,8 @@
 
 typedef struct Cs__Note Cs__Note;
 typedef struct Cs__GroupSilent Cs__GroupSilent;
+typedef struct Cs__Broken Cs__Broken;
+typedef struct Cs__ContentVerdict Cs__ContentVerdict;
 typedef struct Cs__HeadQuestion Cs__HeadQuestion;
 typedef struct Cs__HeadAnswers Cs__HeadAnswers;
 
@@ -30,7 +32,9 @@
   CS__NOTE__BODY__NOT_SET = 0,
   CS__NOTE__BODY_SILENT = 2,
   CS__NOTE__BODY_QUESTION = 3,
-  CS__NOTE__BODY_ANSWERS = 4
+  CS__NOTE__BODY_ANSWERS = 4,
+  CS__NOTE__BODY_BROKEN = 5,
+  CS__NOTE__BODY_VERDICT = 6
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CS__NOTE__BODY__CASE)
 } Cs__Note__BodyCase;
 
@@ -46,6 +50,8 @@
     Cs__GroupSilent *silent;
     Cs__HeadQuestion *question;
     Cs__HeadAnswers *answers;
+    Cs__Broken *broken;
+    Cs__ContentVerdict *verdict;
   };
 };
 #define CS__NOTE__INIT \
@@ -67,6 +73,39 @@
     , 0, (char *)protobuf_c_empty_string }
 
 
+/*
+ * The sender's connections to this back end broke while it ran requests of these contents.
+ */
+struct  Cs__Broken
+{
+  ProtobufCMessage base;
+  char *back_end;
+  /*
+   * of the incarnation
+   */
+  uint64_t born;
+  size_t n_contents;
+  uint64_t *contents;
+};
+#define CS__BROKEN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cs__broken__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0,NULL }
+
+
+/*
+ * The sender found that the content crashes back ends, or that it does not.
+ */
+struct  Cs__ContentVerdict
+{
+  ProtobufCMessage base;
+  uint64_t content;
+  protobuf_c_boolean is_refused;
+};
+#define CS__CONTENT_VERDICT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cs__content_verdict__descriptor) \
+    , 0, 0 }
+
+
 /*
  * The planner cannot reach an unlisted head and asks which daemons can.
  */
@@ -136,6 +175,44 @@
 void   cs__group_silent__free_unpacked
                      (Cs__GroupSilent *message,
                       ProtobufCAllocator *allocator);
+/* Cs__Broken methods */
+void   cs__broken__init
+                     (Cs__Broken         *message);
+size_t cs__broken__get_packed_size
+                     (const Cs__Broken   *message);
+size_t cs__broken__pack
+                     (const Cs__Broken   *message,
+                      uint8_t             *out);
+size_t cs__broken__pack_to_buffer
+                     (const Cs__Broken   *message,
+                      ProtobufCBuffer     *buffer);
+Cs__Broken *
+       cs__broken__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cs__broken__free_unpacked
+                     (Cs__Broken *message,
+                      ProtobufCAllocator *allocator);
+/* Cs__ContentVerdict methods */
+void   cs__content_verdict__init
+                     (Cs__ContentVerdict         *message);
+size_t cs__content_verdict__get_packed_size
+                     (const Cs__ContentVerdict   *message);
+size_t cs__content_verdict__pack
+                     (const Cs__ContentVerdict   *message,
+                      uint8_t             *out);
+size_t cs__content_verdict__pack_to_buffer
+                     (const Cs__ContentVerdict   *message,
+                      ProtobufCBuffer     *buffer);
+Cs__ContentVerdict *
+       cs__content_verdict__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cs__content_verdict__free_unpacked
+                     (Cs__ContentVerdict *message,
+                      ProtobufCAllocator *allocator);
 /* Cs__HeadQuestion methods */
 void   cs__head_question__init
                      (Cs__HeadQuestion         *message);
@@ -182,6 +259,12 @@
 typedef void (*Cs__GroupSilent_Closure)
                  (const Cs__GroupSilent *message,
                   void *closure_data);
+typedef void (*Cs__Broken_Closure)
+                 (const Cs__Broken *message,
+                  void *closure_data);
+typedef void (*Cs__ContentVerdict_Closure)
+                 (const Cs__ContentVerdict *message,
+                  void *closure_data);
 typedef void (*Cs__HeadQuestion_Closure)
                  (const Cs__HeadQuestion *message,
                   void *closure_data);
@@ -196,6 +279,8 @@
 
 extern const ProtobufCMessageDescriptor cs__note__descriptor;
 extern const ProtobufCMessageDescriptor cs__group_silent__descriptor;
+extern const ProtobufCMessageDescriptor cs__broken__descriptor;
+extern const ProtobufCMessageDescriptor cs__content_verdict__descriptor;
 extern const ProtobufCMessageDescriptor cs__head_question__descriptor;
 extern const ProtobufCMessageDescriptor cs__head_answers__descriptor;
 
--- a/packages/wire/src/note.pb-c.c
+++ b/packages/wire/src/note.pb-c.c
@@ -97,6 +97,96 @@
   assert(message->base.descriptor == &cs__group_silent__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cs__broken__init
+                     (Cs__Broken         *message)
+{
+  static const Cs__Broken init_value = CS__BROKEN__INIT;
+  *message = init_value;
+}
+size_t cs__broken__get_packed_size
+                     (const Cs__Broken *message)
+{
+  assert(message->base.descriptor == &cs__broken__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cs__broken__pack
+                     (const Cs__Broken *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cs__broken__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cs__broken__pack_to_buffer
+                     (const Cs__Broken *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cs__broken__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cs__Broken *
+       cs__broken__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cs__Broken *)
+     protobuf_c_message_unpack (&cs__broken__descriptor,
+                                allocator, len, data);
+}
+void   cs__broken__free_unpacked
+                     (Cs__Broken *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cs__broken__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cs__content_verdict__init
+                     (Cs__ContentVerdict         *message)
+{
+  static const Cs__ContentVerdict init_value = CS__CONTENT_VERDICT__INIT;
+  *message = init_value;
+}
+size_t cs__content_verdict__get_packed_size
+                     (const Cs__ContentVerdict *message)
+{
+  assert(message->base.descriptor == &cs__content_verdict__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cs__content_verdict__pack
+                     (const Cs__ContentVerdict *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cs__content_verdict__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cs__content_verdict__pack_to_buffer
+                     (const Cs__ContentVerdict *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cs__content_verdict__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cs__ContentVerdict *
+       cs__content_verdict__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cs__ContentVerdict *)
+     protobuf_c_message_unpack (&cs__content_verdict__descriptor,
+                                allocator, len, data);
+}
+void   cs__content_verdict__free_unpacked
+                     (Cs__ContentVerdict *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cs__content_verdict__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cs__head_question__init
                      (Cs__HeadQuestion         *message)
 {
@@ -187,7 +277,7 @@
   assert(message->base.descriptor == &cs__head_answers__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor cs__note__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cs__note__field_descriptors[6] =
 {
   {
     "from",
@@ -237,17 +327,43 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "broken",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cs__Note, body_case),
+    offsetof(Cs__Note, broken),
+    &cs__broken__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "verdict",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cs__Note, body_case),
+    offsetof(Cs__Note, verdict),
+    &cs__content_verdict__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cs__note__field_indices_by_name[] = {
   3,   /* field[3] = answers */
+  4,   /* field[4] = broken */
   0,   /* field[0] = from */
   2,   /* field[2] = question */
   1,   /* field[1] = silent */
+  5,   /* field[5] = verdict */
 };
 static const ProtobufCIntRange cs__note__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor cs__note__descriptor =
 {
@@ -257,7 +373,7 @@
   "Cs__Note",
   "cs",
   sizeof(Cs__Note),
-  4,
+  6,
   cs__note__field_descriptors,
   cs__note__field_indices_by_name,
   1,  cs__note__number_ranges,
@@ -315,6 +431,121 @@
   (ProtobufCMessageInit) cs__group_silent__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor cs__broken__field_descriptors[3] =
+{
+  {
+    "back_end",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Broken, back_end),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Broken, born),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "contents",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Cs__Broken, n_contents),
+    offsetof(Cs__Broken, contents),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cs__broken__field_indices_by_name[] = {
+  0,   /* field[0] = back_end */
+  1,   /* field[1] = born */
+  2,   /* field[2] = contents */
+};
+static const ProtobufCIntRange cs__broken__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor cs__broken__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cs.Broken",
+  "Broken",
+  "Cs__Broken",
+  "cs",
+  sizeof(Cs__Broken),
+  3,
+  cs__broken__field_descriptors,
+  cs__broken__field_indices_by_name,
+  1,  cs__broken__number_ranges,
+  (ProtobufCMessageInit) cs__broken__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cs__content_verdict__field_descriptors[2] =
+{
+  {
+    "content",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cs__ContentVerdict, content),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_refused",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cs__ContentVerdict, is_refused),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cs__content_verdict__field_indices_by_name[] = {
+  0,   /* field[0] = content */
+  1,   /* field[1] = is_refused */
+};
+static const ProtobufCIntRange cs__content_verdict__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cs__content_verdict__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cs.ContentVerdict",
+  "ContentVerdict",
+  "Cs__ContentVerdict",
+  "cs",
+  sizeof(Cs__ContentVerdict),
+  2,
+  cs__content_verdict__field_descriptors,
+  cs__content_verdict__field_indices_by_name,
+  1,  cs__content_verdict__number_ranges,
+  (ProtobufCMessageInit) cs__content_verdict__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor cs__head_question__field_descriptors[3] =
 {
   {
