--- a/packages/decide/include/cs/crash_counts.h
+++ b/packages/decide/include/cs/crash_counts.h
@@ -4,13 +4,14 @@
  * Evidence: the connection to a back end broke while it ran the content. The break counts until the
  * same incarnation has answered something later; it is confirmed, and counts for good, once the
  * list shows that the incarnation has ended. A content whose breaks of CS_CRASH_LIMIT incarnations
- * count is refused, by all daemons that know of them; with as many confirmed it stays refused for
- * CS_CRASH_REFUSED_MS, also by daemons that start later. An answer to the content itself clears it.
+ * count is suspected: this daemon refuses it and asks the others. One that has had an answer to the
+ * content says so, and all forget the breaks: what crashes back ends is never answered. With as
+ * many breaks confirmed the content is condemned: all daemons refuse it for CS_CRASH_REFUSED_MS,
+ * also those that start later.
  *
  * Unlike cs_poison, which needs a record in an ordered log for each crash, this works with hints
- * that may be lost or late. A harmless content is refused for as long as it takes three back ends
- * that it broke at to answer anything, or if it met three crashes within CS_CRASH_WINDOW_MS without
- * an answer in between. */
+ * that may be lost or late. A harmless content that meets three crashes is refused by a daemon that
+ * has no answer to it until another one says that it has. */
 #ifndef CS_CRASH_COUNTS_H
 #define CS_CRASH_COUNTS_H
 
@@ -22,7 +23,10 @@
 	CS_CRASH_LIMIT = 3,
 	CS_CRASH_WINDOW_MS = 60000,
 	CS_CRASH_REFUSED_MS = 600000,
-	CS_CRASH_MAX_CONTENTS = 4096 /* the oldest ones are forgotten */
+	CS_CRASH_SUSPECTED_MS =
+		20000, /* the list shows well within this time whether a back end ended */
+	CS_CRASH_MAX_CONTENTS = 4096, /* the oldest ones are forgotten */
+	CS_CRASH_ANSWERS = 4096       /* contents whose last answer is remembered, at most */
 };
 
 typedef struct cs_crash_content cs_crash_content_t;
@@ -35,12 +39,27 @@
 	bool (*is_listed) (void *data, const char *back_end, uint64_t born);
 } cs_crash_evidence_ops_t;
 
+typedef struct {
+	uint64_t content;
+	int64_t at_ms;
+} cs_crash_answer_t;
+
 typedef struct {
 	cs_crash_content_t *contents; /* uthash by content, in the order of their first break */
+	cs_crash_answer_t *answers;   /* direct-mapped by content */
 	const cs_crash_evidence_ops_t *evidence;
 	void *data;
 } cs_crash_counts_t;
 
+/* What a daemon tells the others of a content. */
+typedef enum {
+	CS_CRASH_NOTHING,
+	CS_CRASH_SUSPECTED, /* it refuses the content for now */
+	CS_CRASH_CONDEMNED,
+	CS_CRASH_WORKS, /* it has had an answer to it */
+	CS_CRASH_KEEP   /* condemned, but no longer kept */
+} cs_crash_verdict_t;
+
 void cs_crash_counts_init (cs_crash_counts_t *c, const cs_crash_evidence_ops_t *evidence,
 			   void *data);
 void cs_crash_counts_finish (cs_crash_counts_t *c);
@@ -48,21 +67,23 @@
  * daemon or another one saw. False if that was known. */
 bool cs_crash_counts_add (cs_crash_counts_t *c, int64_t now_ms, uint64_t content,
 			  const char *back_end, uint64_t born);
-/* Confirms the breaks whose incarnations are listed no more, and forgets what is too old. To be
- * called a few times a second. */
-void cs_crash_counts_review (cs_crash_counts_t *c, int64_t now_ms);
-/* Records an answer to the content. True if that clears a content that other daemons may be about
- * to refuse. */
-bool cs_crash_counts_answered (cs_crash_counts_t *c, uint64_t content);
-/* Refuses the content until until_ms, as another daemon found, or this one before a restart. */
+/* Records an answer to the content, which clears it. */
+void cs_crash_counts_answered (cs_crash_counts_t *c, int64_t now_ms, uint64_t content);
+/* Applies what another daemon tells. */
+void cs_crash_counts_hear (cs_crash_counts_t *c, int64_t now_ms, uint64_t content,
+			   cs_crash_verdict_t verdict);
+/* Refuses the content until until_ms, as it was kept. */
 void cs_crash_counts_refuse (cs_crash_counts_t *c, int64_t now_ms, uint64_t content,
 			     int64_t until_ms);
 /* Until when the content is refused; 0: it is not. */
 int64_t cs_crash_counts_refused_until_ms (const cs_crash_counts_t *c, int64_t now_ms,
 					  uint64_t content);
-/* A content that is refused for good and whose refusal other daemons have not been told. False if
- * there is none. Each is returned once, or again after cs_crash_counts_unpublish. */
-bool cs_crash_counts_next_unpublished (cs_crash_counts_t *c, int64_t now_ms, uint64_t *content);
-/* Marks all contents as not published: what was published may be lost. */
-void cs_crash_counts_unpublish (cs_crash_counts_t *c);
+/* Confirms the breaks whose incarnations are listed no more, and forgets what is too old. To be
+ * called a few times a second. */
+void cs_crash_counts_review (cs_crash_counts_t *c, int64_t now_ms);
+/* The next thing to tell the others and to keep; CS_CRASH_NOTHING if there is none. */
+cs_crash_verdict_t cs_crash_counts_next (cs_crash_counts_t *c, int64_t now_ms, uint64_t *content);
+/* What was kept may be lost: what is condemned and not refused anew has to be kept again. */
+void cs_crash_counts_forget_kept (cs_crash_counts_t *c);
+
 #endif
--- a/packages/decide/src/crash_counts.c
+++ b/packages/decide/src/crash_counts.c
@@ -23,7 +23,11 @@
 	break_t breaks[MAX_BREAKS];
 	size_t n;
 	int64_t refused_until_ms; /* 0: only while enough breaks count */
-	bool published;
+	bool is_condemned;
+	bool asked; /* the others know that it is suspected */
+	bool told;  /* the others know that it is condemned */
+	bool kept;
+	bool owes_objection; /* another daemon suspects it, and this one has had an answer */
 	UT_hash_handle hh;
 };
 
@@ -31,6 +35,7 @@
 cs_crash_counts_init (cs_crash_counts_t *c, const cs_crash_evidence_ops_t *evidence, void *data)
 {
 	*c = (cs_crash_counts_t){.evidence = evidence, .data = data};
+	c->answers = cs_alloc (CS_CRASH_ANSWERS * sizeof *c->answers);
 }
 
 static void
@@ -56,6 +61,7 @@
 	HASH_ITER (hh, c->contents, x, next) {
 		remove_content (c, x);
 	}
+	free (c->answers);
 }
 
 static cs_crash_content_t *
@@ -120,6 +126,13 @@
 	       !c->evidence->is_listed (c->data, b->back_end, b->born);
 }
 
+static void
+condemn (cs_crash_content_t *x, int64_t now_ms)
+{
+	x->refused_until_ms = now_ms + CS_CRASH_REFUSED_MS;
+	x->is_condemned = true;
+}
+
 static void
 review_content (cs_crash_counts_t *c, int64_t now_ms, cs_crash_content_t *x)
 {
@@ -129,8 +142,8 @@
 			drop_break (x, i);
 	}
 	if (!x->refused_until_ms && count (c, now_ms, x, true) >= CS_CRASH_LIMIT)
-		x->refused_until_ms = now_ms + CS_CRASH_REFUSED_MS;
-	if (!x->n && now_ms >= x->refused_until_ms)
+		condemn (x, now_ms);
+	if (!x->n && now_ms >= x->refused_until_ms && !x->owes_objection)
 		remove_content (c, x);
 }
 
@@ -143,15 +156,48 @@
 	}
 }
 
-bool
-cs_crash_counts_answered (cs_crash_counts_t *c, uint64_t content)
+static cs_crash_answer_t *
+answer_slot (const cs_crash_counts_t *c, uint64_t content)
+{
+	return &c->answers[content % CS_CRASH_ANSWERS];
+}
+
+static bool
+has_answer (const cs_crash_counts_t *c, int64_t now_ms, uint64_t content)
+{
+	const cs_crash_answer_t *a = answer_slot (c, content);
+	return a->at_ms && a->content == content && now_ms - a->at_ms < CS_CRASH_WINDOW_MS;
+}
+
+void
+cs_crash_counts_answered (cs_crash_counts_t *c, int64_t now_ms, uint64_t content)
 {
 	cs_crash_content_t *x = find_content (c, content);
-	if (!x)
-		return false;
-	bool was_close = x->n + 1 >= CS_CRASH_LIMIT || x->refused_until_ms;
-	remove_content (c, x);
-	return was_close;
+	*answer_slot (c, content) = (cs_crash_answer_t){content, now_ms};
+	if (x)
+		remove_content (c, x);
+}
+
+void
+cs_crash_counts_hear (cs_crash_counts_t *c, int64_t now_ms, uint64_t content,
+		      cs_crash_verdict_t verdict)
+{
+	cs_crash_content_t *x = find_content (c, content);
+	if (verdict == CS_CRASH_WORKS) {
+		if (x)
+			remove_content (c, x);
+		return;
+	}
+	if (verdict != CS_CRASH_SUSPECTED && verdict != CS_CRASH_CONDEMNED)
+		return;
+	x = find_or_add_content (c, content);
+	x->asked = true;
+	if (has_answer (c, now_ms, content)) {
+		x->owes_objection = true;
+	} else if (verdict == CS_CRASH_CONDEMNED) {
+		condemn (x, now_ms);
+		x->told = x->kept = true; /* by the one that tells it */
+	}
 }
 
 void
@@ -162,14 +208,14 @@
 		until_ms = now_ms + CS_CRASH_REFUSED_MS;
 	if (until_ms > x->refused_until_ms)
 		x->refused_until_ms = until_ms;
-	x->published = true;
+	x->asked = x->told = x->kept = true;
 }
 
 int64_t
 cs_crash_counts_refused_until_ms (const cs_crash_counts_t *c, int64_t now_ms, uint64_t content)
 {
 	enum {
-		RECHECK_MS = 1000 /* by then other requests have shown whether the back ends live */
+		RECHECK_MS = 1000 /* by then it is known whether the back ends live */
 	};
 	const cs_crash_content_t *x = find_content (c, content);
 	if (!x)
@@ -179,22 +225,44 @@
 	return count (c, now_ms, x, false) >= CS_CRASH_LIMIT ? now_ms + RECHECK_MS : 0;
 }
 
-bool
-cs_crash_counts_next_unpublished (cs_crash_counts_t *c, int64_t now_ms, uint64_t *content)
+/* What is to be told of the content, which is then marked as told. */
+static cs_crash_verdict_t
+verdict_of (cs_crash_counts_t *c, int64_t now_ms, cs_crash_content_t *x)
 {
-	for (cs_crash_content_t *x = c->contents; x; x = x->hh.next) {
-		if (x->published || now_ms >= x->refused_until_ms)
-			continue;
-		x->published = true;
+	if (x->owes_objection) {
+		remove_content (c, x);
+		return CS_CRASH_WORKS;
+	}
+	if (x->is_condemned && !x->told) {
+		x->asked = x->told = x->kept = true;
+		return CS_CRASH_CONDEMNED;
+	}
+	if (x->told && !x->kept && now_ms < x->refused_until_ms) {
+		x->kept = true;
+		return CS_CRASH_KEEP;
+	}
+	if (x->asked || count (c, now_ms, x, false) < CS_CRASH_LIMIT)
+		return CS_CRASH_NOTHING;
+	x->asked = true;
+	return CS_CRASH_SUSPECTED;
+}
+
+cs_crash_verdict_t
+cs_crash_counts_next (cs_crash_counts_t *c, int64_t now_ms, uint64_t *content)
+{
+	cs_crash_content_t *x, *next;
+	HASH_ITER (hh, c->contents, x, next) {
 		*content = x->content;
-		return true;
+		cs_crash_verdict_t verdict = verdict_of (c, now_ms, x);
+		if (verdict != CS_CRASH_NOTHING)
+			return verdict;
 	}
-	return false;
+	return CS_CRASH_NOTHING;
 }
 
 void
-cs_crash_counts_unpublish (cs_crash_counts_t *c)
+cs_crash_counts_forget_kept (cs_crash_counts_t *c)
 {
 	for (cs_crash_content_t *x = c->contents; x; x = x->hh.next)
-		x->published = false;
+		x->kept = false;
 }
--- a/packages/forward/src/crashes.c
+++ b/packages/forward/src/crashes.c
@@ -10,8 +10,8 @@
 #include "forward.h"
 
 enum {
-	MAX_PUBLISH_DELAY_MS =
-		500 /* drawn, so that one of the daemons that know tells the others */
+	MAX_TELL_DELAY_MS = 500, /* drawn, so that one of the daemons that know tells the others */
+	MAX_KEEP_DELAY_MS = 5000 /* the same after the store was restored, which all see at once */
 };
 
 static cs_counter_t refused_contents = {
@@ -57,10 +57,7 @@
 void
 cs_crashes_record_answer (const cs_call_t *c)
 {
-	cs_forward_t *f = c->forward;
-	if (cs_crash_counts_answered (&f->crashes, c->content) &&
-	    cs_notices_try_acquire (&f->notices, cs_now_ms (), f->list_unreachable))
-		cs_notes_publish_content (f, c->content, false);
+	cs_crash_counts_answered (&c->forward->crashes, cs_now_ms (), c->content);
 }
 
 bool
@@ -75,14 +72,25 @@
 }
 
 static void
-publish (cs_forward_t *f, uint64_t content)
+tell (cs_forward_t *f, int64_t now_ms, uint64_t content, cs_crash_verdict_t verdict)
 {
-	cs_log_event ("forward", "content_refused", "content=%016" PRIx64, content);
-	cs_counter_add (&refused_contents, 1);
-	cs_notes_publish_content (f, content, true);
+	static const struct {
+		const char *name;
+		cs_crash_verdict_t note;
+		int64_t kept_ms; /* for which other daemons read it in the store; 0: no more */
+	} verdicts[] = {
+		[CS_CRASH_SUSPECTED] = {"suspected", CS_CRASH_SUSPECTED, CS_CRASH_SUSPECTED_MS},
+		[CS_CRASH_CONDEMNED] = {"condemned", CS_CRASH_CONDEMNED, CS_CRASH_REFUSED_MS},
+		[CS_CRASH_KEEP] = {"kept", CS_CRASH_CONDEMNED, CS_CRASH_REFUSED_MS},
+		[CS_CRASH_WORKS] = {"works", CS_CRASH_WORKS, 0},
+	};
+	int64_t kept_ms = verdicts[verdict].kept_ms;
+	cs_log_event ("forward", "content_judged", "content=%016" PRIx64 " verdict=%s", content,
+		      verdicts[verdict].name);
+	cs_counter_add (&refused_contents, verdict == CS_CRASH_CONDEMNED);
+	cs_notes_publish_content (f, content, verdicts[verdict].note);
 	cs_send (f->task, cs_task_find (f->task->kernel, "store"),
-		 &cs_content_msg (CS_HOST_REFUSED_CONTENT, content,
-				  cs_now_ms () + CS_CRASH_REFUSED_MS)
+		 &cs_content_msg (CS_HOST_REFUSED_CONTENT, content, kept_ms ? now_ms + kept_ms : 0)
 			  ->msg);
 }
 
@@ -91,11 +99,13 @@
 {
 	uint64_t content;
 	cs_crash_counts_review (&f->crashes, now_ms);
-	if (!f->list_unreachable && now_ms >= f->publish_contents_ms &&
-	    cs_crash_counts_next_unpublished (&f->crashes, now_ms, &content)) {
-		publish (f, content);
-		f->publish_contents_ms = now_ms + cs_rng_below (&f->rng, MAX_PUBLISH_DELAY_MS);
-	}
+	if (f->list_unreachable || now_ms < f->tell_contents_ms)
+		return;
+	cs_crash_verdict_t verdict = cs_crash_counts_next (&f->crashes, now_ms, &content);
+	if (verdict == CS_CRASH_NOTHING)
+		return;
+	tell (f, now_ms, content, verdict);
+	f->tell_contents_ms = now_ms + cs_rng_below (&f->rng, MAX_TELL_DELAY_MS);
 }
 
 void
@@ -103,11 +113,11 @@
 {
 	int64_t now = cs_now_ms ();
 	if (!m->content) { /* the kept ones follow: those that are missing were lost */
-		cs_crash_counts_unpublish (&f->crashes);
-		f->publish_contents_ms = now + cs_rng_below (&f->rng, MAX_PUBLISH_DELAY_MS);
+		cs_crash_counts_forget_kept (&f->crashes);
+		f->tell_contents_ms = now + cs_rng_below (&f->rng, MAX_KEEP_DELAY_MS);
 		return;
 	}
-	cs_log_event ("forward", "content_kept", "content=%016" PRIx64 " for_ms=%lld", m->content,
+	cs_log_event ("forward", "content_read", "content=%016" PRIx64 " for_ms=%lld", m->content,
 		      (long long)(m->until_ms - now));
 	cs_crash_counts_refuse (&f->crashes, now, m->content, m->until_ms);
 }
--- a/packages/forward/src/forward.h
+++ b/packages/forward/src/forward.h
@@ -47,8 +47,9 @@
 	cs_answer_timeout_t answer_timeout;
 	cs_notices_t notices;
 	cs_crash_counts_t crashes;
-	int64_t publish_contents_ms;    /* not before then */
+	int64_t tell_contents_ms;       /* no verdict on a content is published before then */
 	cs_broken_note_t *broken_notes; /* not published yet */
+	cs_notices_t broken_notices;
 	ev_timer broken_timer;
 	cs_answer_memory_t answer_memory;
 	cs_rng_t rng;
@@ -258,8 +259,7 @@
 /* Publishes, after a moment in which more of them come, that the back end broke under the content.
  */
 void cs_notes_add_break (cs_forward_t *f, const char *back_end, uint64_t born, uint64_t content);
-/* Publishes that the content crashes back ends, or that it does not. */
-void cs_notes_publish_content (cs_forward_t *f, uint64_t content, bool is_refused);
+void cs_notes_publish_content (cs_forward_t *f, uint64_t content, cs_crash_verdict_t kind);
 void cs_notes_init (cs_forward_t *f);
 void cs_notes_finish (cs_forward_t *f);
 void cs_notes_receive (cs_forward_t *f, cs_str_t bytes);
--- a/packages/forward/src/notes.c
+++ b/packages/forward/src/notes.c
@@ -9,6 +9,7 @@
 
 enum {
 	PROBE_TIMEOUT_MS = 400, /* a working head answers within a few ms */
+	RETRY_MS = 400,         /* until the rate of notes allows another one */
 	BATCH_MS = 30,          /* the connections of a back end that ends break within this time */
 	MAX_BATCH = 32,         /* contents of one note; a back end runs fewer of one daemon */
 	RECENT_ANSWER_MS = 400  /* an answer received here this recently outweighs a failure seen by
@@ -164,19 +165,21 @@
 	broken.n_contents = b->n;
 	note.body_case = CS__NOTE__BODY_BROKEN;
 	note.broken = &broken;
-	if (cs_notices_try_acquire (&f->notices, cs_now_ms (), f->list_unreachable))
-		publish_note (f, &note);
+	publish_note (f, &note);
 }
 
 static void
 on_broken_timer (struct ev_loop *loop, ev_timer *w, int events)
 {
 	cs_forward_t *f = w->data;
-	(void)loop;
 	(void)events;
-	for (cs_broken_note_t *b = f->broken_notes; b; b = free_broken (b))
-		publish_broken (f, b);
-	f->broken_notes = NULL;
+	while (f->broken_notes &&
+	       cs_notices_try_acquire (&f->broken_notices, cs_now_ms (), f->list_unreachable)) {
+		publish_broken (f, f->broken_notes);
+		f->broken_notes = free_broken (f->broken_notes);
+	}
+	if (f->broken_notes)
+		cs_timer_start_after (loop, &f->broken_timer, RETRY_MS);
 }
 
 void
@@ -190,12 +193,12 @@
 }
 
 void
-cs_notes_publish_content (cs_forward_t *f, uint64_t content, bool is_refused)
+cs_notes_publish_content (cs_forward_t *f, uint64_t content, cs_crash_verdict_t kind)
 {
 	Cs__ContentVerdict verdict = CS__CONTENT_VERDICT__INIT;
 	Cs__Note note = CS__NOTE__INIT;
 	verdict.content = content;
-	verdict.is_refused = is_refused;
+	verdict.kind = (Cs__ContentVerdict__Kind)kind;
 	note.body_case = CS__NOTE__BODY_VERDICT;
 	note.verdict = &verdict;
 	publish_note (f, &note);
@@ -204,6 +207,7 @@
 void
 cs_notes_init (cs_forward_t *f)
 {
+	cs_notices_init (&f->broken_notices);
 	ev_init (&f->broken_timer, on_broken_timer);
 	f->broken_timer.data = f;
 }
@@ -227,11 +231,7 @@
 static void
 apply_verdict (cs_forward_t *f, const Cs__ContentVerdict *v)
 {
-	int64_t now = cs_now_ms ();
-	if (v->is_refused)
-		cs_crash_counts_refuse (&f->crashes, now, v->content, now + CS_CRASH_REFUSED_MS);
-	else
-		cs_crash_counts_answered (&f->crashes, v->content);
+	cs_crash_counts_hear (&f->crashes, cs_now_ms (), v->content, (cs_crash_verdict_t)v->kind);
 }
 
 void
--- a/packages/wire/include/cs/note.pb-c.h
+++ b/packages/wire/include/cs/note.pb-c.h
@@ -25,6 +25,13 @@
 
 /* --- enums --- */
 
+typedef enum _Cs__ContentVerdict__Kind {
+  CS__CONTENT_VERDICT__KIND__NOTHING = 0,
+  CS__CONTENT_VERDICT__KIND__SUSPECTED = 1,
+  CS__CONTENT_VERDICT__KIND__CONDEMNED = 2,
+  CS__CONTENT_VERDICT__KIND__WORKS = 3
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CS__CONTENT_VERDICT__KIND)
+} Cs__ContentVerdict__Kind;
 
 /* --- messages --- */
 
@@ -93,17 +100,17 @@
 
 
 /*
- * The sender found that the content crashes back ends, or that it does not.
+ * What the sender says of a content of requests; Kind is cs_crash_verdict_t.
  */
 struct  Cs__ContentVerdict
 {
   ProtobufCMessage base;
   uint64_t content;
-  protobuf_c_boolean is_refused;
+  Cs__ContentVerdict__Kind kind;
 };
 #define CS__CONTENT_VERDICT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cs__content_verdict__descriptor) \
-    , 0, 0 }
+    , 0, CS__CONTENT_VERDICT__KIND__NOTHING }
 
 
 /*
@@ -281,6 +288,7 @@
 extern const ProtobufCMessageDescriptor cs__group_silent__descriptor;
 extern const ProtobufCMessageDescriptor cs__broken__descriptor;
 extern const ProtobufCMessageDescriptor cs__content_verdict__descriptor;
+extern const ProtobufCEnumDescriptor    cs__content_verdict__kind__descriptor;
 extern const ProtobufCMessageDescriptor cs__head_question__descriptor;
 extern const ProtobufCMessageDescriptor cs__head_answers__descriptor;
 
--- a/packages/wire/src/note.pb-c.c
+++ b/packages/wire/src/note.pb-c.c
@@ -495,6 +495,38 @@
   (ProtobufCMessageInit) cs__broken__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCEnumValue cs__content_verdict__kind__enum_values_by_number[4] =
+{
+  { "NOTHING", "CS__CONTENT_VERDICT__KIND__NOTHING", 0 },
+  { "SUSPECTED", "CS__CONTENT_VERDICT__KIND__SUSPECTED", 1 },
+  { "CONDEMNED", "CS__CONTENT_VERDICT__KIND__CONDEMNED", 2 },
+  { "WORKS", "CS__CONTENT_VERDICT__KIND__WORKS", 3 },
+};
+static const ProtobufCIntRange cs__content_verdict__kind__value_ranges[] = {
+{0, 0},{0, 4}
+};
+static const ProtobufCEnumValueIndex cs__content_verdict__kind__enum_values_by_name[4] =
+{
+  { "CONDEMNED", 2 },
+  { "NOTHING", 0 },
+  { "SUSPECTED", 1 },
+  { "WORKS", 3 },
+};
+const ProtobufCEnumDescriptor cs__content_verdict__kind__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "cs.ContentVerdict.Kind",
+  "Kind",
+  "Cs__ContentVerdict__Kind",
+  "cs",
+  4,
+  cs__content_verdict__kind__enum_values_by_number,
+  4,
+  cs__content_verdict__kind__enum_values_by_name,
+  1,
+  cs__content_verdict__kind__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
 static const ProtobufCFieldDescriptor cs__content_verdict__field_descriptors[2] =
 {
   {
@@ -510,13 +542,13 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "is_refused",
+    "kind",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_ENUM,
     0,   /* quantifier_offset */
-    offsetof(Cs__ContentVerdict, is_refused),
-    NULL,
+    offsetof(Cs__ContentVerdict, kind),
+    &cs__content_verdict__kind__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -524,7 +556,7 @@
 };
 static const unsigned cs__content_verdict__field_indices_by_name[] = {
   0,   /* field[0] = content */
-  1,   /* field[1] = is_refused */
+  1,   /* field[1] = kind */
 };
 static const ProtobufCIntRange cs__content_verdict__number_ranges[1 + 1] =
 {
