outcome: a refusal that names no request may be an earlier one on a connection used before

A faulty back end wrote an earlier refusal once more on a kept connection, in place of the answer to a request that it ran. Where the refusal named no request it counted as one of this request: it ran at a second back end (TWICE), or its caller was told that it had not run (REFUSED).

Change: the HTTP client says whether a connection had served an earlier call; there only a refusal that names the request counts.

--- a/packages/decide/include/cs/outcome.h
+++ b/packages/decide/include/cs/outcome.h
@@ -25,6 +25,7 @@
 	bool declared_not_run; /* the answer states that the request did not run */
 	bool is_stream;        /* a 200 with an event stream; only this can continue a stream */
 	bool names_other; /* the answer names another request, and says nothing about this one */
+	bool is_reused;   /* it came on a connection that an earlier request had used */
 } cs_attempt_t;
 
 typedef enum {
--- a/packages/decide/src/outcome.c
+++ b/packages/decide/src/outcome.c
@@ -8,12 +8,13 @@
 	STATUS_UNAVAILABLE = 503
 };
 
-/* A refusal that names no request counts as one of this request; one that names another request
- * says nothing about this one. */
+/* A refusal that names no request counts as one of this request, but not on a connection on which
+ * it may be one of an earlier request, sent once more; one that names another request says nothing
+ * about this one. */
 static bool
 is_refused_not_run (const cs_attempt_t *a)
 {
-	if (a->names_other)
+	if (a->names_other || (a->is_reused && !a->is_own))
 		return false;
 	if (a->status == STATUS_MISDIRECTED)
 		return true;
--- a/packages/forward/src/backend_request.c
+++ b/packages/forward/src/backend_request.c
@@ -219,6 +219,7 @@
 		.declared_not_run = cs_headers_find (&s->answer_headers, names->not_run).n > 0,
 		.is_stream = s->is_stream,
 		.names_other = names_other_request (s),
+		.is_reused = s->http.is_reused,
 	};
 }
 
--- a/packages/http/src/setup.c
+++ b/packages/http/src/setup.c
@@ -84,6 +84,9 @@
 	curl_easy_getinfo (t->easy, CURLINFO_RESPONSE_CODE, &status);
 	if (status < 200 || t->status)
 		return;
+	long connects = 1;
+	curl_easy_getinfo (t->easy, CURLINFO_NUM_CONNECTS, &connects);
+	t->call->is_reused = !connects;
 	t->status = (int)status;
 	if (status == 204 || status == 304 || !strcmp (t->call->method, "HEAD"))
 		t->delimited = true;
