formation: a group whose unlisted member has ended or moved is closed

Change: an answer that the member has ended or moved marks it as having left, until it answers as a member or is listed again; such a member counts as lost.

--- a/packages/decide/include/cs/formation.h
+++ b/packages/decide/include/cs/formation.h
@@ -78,8 +78,10 @@
 	uint32_t *silent_probes;  /* by member: consecutive probes without an answer */
 	int64_t daemons_asked_ms; /* when daemons were asked about the head; 0: not asked */
 	int64_t *answered_ms;     /* by member: when the last probe was answered; 0: it was not */
-	bool head_serves;         /* the head's last probe showed it open or closing */
-	bool head_ended; /* the head no longer runs at its address, or belongs to another group */
+	bool *has_left;   /* by member: its last answer was that it has ended or belongs to another
+			     group */
+	bool head_serves; /* the head's last probe showed it open or closing */
+	bool head_ended;  /* the head no longer runs at its address, or belongs to another group */
 	int64_t *join_sent_ms; /* by member: when the last join order was sent; 0: never */
 	UT_hash_handle hh;
 } cs_formation_group_t;
--- a/packages/decide/src/formation.c
+++ b/packages/decide/src/formation.c
@@ -20,6 +20,7 @@
 	g->unlisted_ms = cs_alloc (n * sizeof *g->unlisted_ms);
 	g->silent_probes = cs_alloc (n * sizeof *g->silent_probes);
 	g->answered_ms = cs_alloc (n * sizeof *g->answered_ms);
+	g->has_left = cs_alloc (n * sizeof *g->has_left);
 	g->n = n;
 	for (size_t i = 0; i < n; i++)
 		g->members[i] = cs_str_dup (cs_str (members[i]));
@@ -37,6 +38,7 @@
 	free (g->unlisted_ms);
 	free (g->silent_probes);
 	free (g->answered_ms);
+	free (g->has_left);
 	free (g->name);
 	free (g->service);
 	free (g->model);
@@ -379,6 +381,8 @@
 		return;
 	g->silent_probes[i] = result == CS_PROBE_SILENT ? g->silent_probes[i] + 1 : 0;
 	g->answered_ms[i] = result != CS_PROBE_SILENT ? now_ms : 0;
+	if (result != CS_PROBE_SILENT)
+		g->has_left[i] = result != CS_PROBE_MEMBER;
 	if (result == CS_PROBE_ENDED || g->silent_probes[i] >= CS_FORMATION_SILENT_PROBES)
 		mark_down (f, now_ms, id);
 	bool closed = result == CS_PROBE_MEMBER && state != CS_MEMBERSHIP_OPEN &&
--- a/packages/decide/src/formation_update.c
+++ b/packages/decide/src/formation_update.c
@@ -46,6 +46,7 @@
 	if (g->head_unlisted_ms)
 		g->head_unlisted_ms = v->now_ms;
 	memset (g->silent_probes, 0, g->n * sizeof *g->silent_probes);
+	memset (g->has_left, 0, g->n * sizeof *g->has_left);
 }
 
 /* True if an unlisted member of an open group may still work: it counts as lost only when it does
@@ -53,7 +54,7 @@
 static bool
 may_work_unlisted (const cs_form_view_t *v, cs_formation_group_t *g, size_t i)
 {
-	if (!i || !g->opened)
+	if (!i || !g->opened || g->has_left[i])
 		return false;
 	if (!g->unlisted_ms[i])
 		g->unlisted_ms[i] = v->now_ms;
--- a/packages/decide/tests/test_formation.c
+++ b/packages/decide/tests/test_formation.c
@@ -574,15 +574,69 @@
 	}
 }
 
+/* An open group whose second member is unlisted: it is kept while that member answers that it
+ * belongs to the group, and closed once it answers that it does not. */
+static void
+test_unlisted_member_left (void **state)
+{
+	enum {
+		STEP_MS = 200,
+		END_MS = 60000
+	};
+	static const struct {
+		const char *name;
+		cs_probe_t result;
+		bool closed;
+	} cases[] = {
+		{"member", CS_PROBE_MEMBER, false},
+		{"moved", CS_PROBE_MOVED, true},
+		{"ended", CS_PROBE_ENDED, true},
+		{"silent", CS_PROBE_SILENT, true},
+	};
+	static const entry_t open[] = {
+		{"a", "small", "small", "g", 5, 0, CS_MEMBERSHIP_OPEN, false},
+		{"b", "small", "small", "g", 5, 1, CS_MEMBERSHIP_READY, false},
+		{NULL}};
+	(void)state;
+	for (size_t i = 0; i < CS_ARRAY_LEN (cases); i++) {
+		size_t closes = 0;
+		plan_t p;
+		init (&p, 0);
+		cs_formation_apply (&p.formation, LATER_MS, 5, "g", "llm", "small", pair, 2);
+		set_entries (&p, LATER_MS, open);
+		plan (&p, LATER_MS);
+		cs_fleet_remove (&p.fleet, LATER_MS, "b");
+		for (int64_t t = LATER_MS + STEP_MS; t < LATER_MS + END_MS; t += STEP_MS) {
+			plan (&p, t);
+			closes += count_actions (&p, CS_FORM_CLOSE);
+			for (size_t k = 0; k < p.formation.n_actions; k++)
+				if (p.formation.actions[k].kind == CS_FORM_PROBE &&
+				    !strcmp (p.formation.actions[k].id, "b"))
+					cs_formation_record_probe (&p.formation, t, 5, "b",
+								   cases[i].result,
+								   CS_MEMBERSHIP_READY, 1);
+		}
+		print_message ("%s: %zu close orders\n", cases[i].name, closes);
+		assert_int_equal (closes > 0, cases[i].closed);
+		finish (&p);
+	}
+}
+
 int
 main (void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test (test_choice),   cmocka_unit_test (test_orders),
-		cmocka_unit_test (test_takeover), cmocka_unit_test (test_replace_slow),
-		cmocka_unit_test (test_staging),  cmocka_unit_test (test_opening),
-		cmocka_unit_test (test_loads),    cmocka_unit_test (test_older_head_moves_first),
-		cmocka_unit_test (test_names),    cmocka_unit_test (test_name_of_other_epoch),
+		cmocka_unit_test (test_choice),
+		cmocka_unit_test (test_orders),
+		cmocka_unit_test (test_takeover),
+		cmocka_unit_test (test_replace_slow),
+		cmocka_unit_test (test_staging),
+		cmocka_unit_test (test_opening),
+		cmocka_unit_test (test_loads),
+		cmocka_unit_test (test_older_head_moves_first),
+		cmocka_unit_test (test_names),
+		cmocka_unit_test (test_name_of_other_epoch),
+		cmocka_unit_test (test_unlisted_member_left),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
 }
