--- a/packages/decide/tests/test_crash_counts.c
+++ b/packages/decide/tests/test_crash_counts.c
@@ -229,15 +229,15 @@
 static void
 test_bounded (void **state)
 {
+	const uint64_t n = UINT64_C (3) * CS_CRASH_MAX_CONTENTS;
 	cs_crash_counts_t c;
 	known_t known = {0};
 	(void)state;
 	cs_crash_counts_init (&c, &evidence, &known);
-	for (uint64_t content = 0; content < 3 * CS_CRASH_MAX_CONTENTS; content++)
+	for (uint64_t content = 0; content < n; content++)
 		cs_crash_counts_refuse (&c, 1, content, 1000);
 	assert_int_equal (cs_crash_counts_refused_until_ms (&c, 2, 0), 0);
-	assert_int_equal (cs_crash_counts_refused_until_ms (&c, 2, 3 * CS_CRASH_MAX_CONTENTS - 1),
-			  1000);
+	assert_int_equal (cs_crash_counts_refused_until_ms (&c, 2, n - 1), 1000);
 	cs_crash_counts_review (&c, 1000);
 	assert_null (c.contents);
 	cs_crash_counts_finish (&c);
--- a/packages/former/tests/test_former.c
+++ b/packages/former/tests/test_former.c
@@ -76,7 +76,8 @@
 	return false;
 }
 
-static const cs_header_names_t names = {.expected_backend = "X-Expected"};
+static const cs_header_names_t names = {
+	.expected_backend = "X-Expected", .leaving = "X-Leaving", .retry_after = "X-Retry-After"};
 static const cs_adapter_t adapter = {.headers = &names,
 				     .order_path = "/order",
 				     .report_path = "/report",
--- a/packages/forward/tests/support_relay.c
+++ b/packages/forward/tests/support_relay.c
@@ -25,8 +25,19 @@
 	.model = "X-Model",
 	.last_event_id = "Last-Event-ID",
 	.fault_at = "X-Fault-At",
+	.leaving = "X-Leaving",
+	.retry_after = "Retry-After",
 };
 
+static bool
+decode_retry_after (cs_str_t value, uint32_t *ms)
+{
+	uint64_t s = 0;
+	bool valid = cs_str_u64 (value, &s);
+	*ms = (uint32_t)s * 1000;
+	return valid;
+}
+
 static bool
 decode_load (cs_str_t value, uint32_t *running, uint32_t *waiting)
 {
@@ -42,6 +53,7 @@
 	.report_path = "/report",
 	.ready_path = "/ready",
 	.decode_load = decode_load,
+	.decode_retry_after = decode_retry_after,
 };
 
 static cs_status_t
