fleet, formation: a leaving back end has no grace period; epochs stay exact in JSON

A back end whose entry had expired and which then said that it leaves stayed in the fleet for good, as a draining member. An era of 2^21 or more would have made epochs beyond what JSON numbers hold exactly; the lower 21 bits of the era count now.

--- a/packages/decide/include/cs/formation.h
+++ b/packages/decide/include/cs/formation.h
@@ -141,8 +141,8 @@
 } cs_formation_t;
 
 /* Epoch of the group whose Form record has this offset in the ledger; never 0. The offset is given
- * again after the ledger was restored from an older copy, but not in the same era. As a number of
- * JSON it is exact up to era 2^21. */
+ * again after the ledger was restored from an older copy, but not in the same era. Of the era the
+ * lower 21 bits count, so that the epoch is exact as a number of JSON. */
 uint64_t cs_formation_epoch (uint64_t era, uint64_t offset);
 void cs_formation_init (cs_formation_t *f);
 void cs_formation_finish (cs_formation_t *f);
--- a/packages/decide/src/fleet_memory.c
+++ b/packages/decide/src/fleet_memory.c
@@ -115,12 +115,16 @@
 cs_fleet_set_leaving (cs_fleet_t *f, int64_t now_ms, const char *id, uint64_t born)
 {
 	cs_fleet_memory_t *m = cs_fleet_recall (f, id);
-	const cs_backend_t *b = cs_fleet_find (f, id);
+	const cs_fleet_entry_t *e = cs_fleet_find_entry (f, id);
 	if (!m || m->born != born || m->is_leaving)
 		return false;
 	m->is_leaving = true;
-	if (b && !b->draining)
-		cs_fleet_set (f, now_ms, cs_backend_copy (b));
+	if (!e || e->backend->draining)
+		return true;
+	bool is_expired = e->expired_ms > 0;
+	cs_fleet_set (f, now_ms, cs_backend_copy (e->backend));
+	if (is_expired) /* a leaving one has no grace period */
+		cs_fleet_remove (f, now_ms, id);
 	return true;
 }
 
--- a/packages/decide/src/formation.c
+++ b/packages/decide/src/formation.c
@@ -85,8 +85,10 @@
 cs_formation_epoch (uint64_t era, uint64_t offset)
 {
 	enum {
+		ERA_BITS = 21,
 		OFFSET_BITS = 32
 	};
+	era &= (UINT64_C (1) << ERA_BITS) - 1;
 	return (era << OFFSET_BITS) + offset + 1;
 }
 
--- a/packages/decide/tests/test_formation.c
+++ b/packages/decide/tests/test_formation.c
@@ -622,6 +622,30 @@
 	}
 }
 
+/* Epochs rise with the offset and with the era, and are exact where numbers are doubles. */
+static void
+test_epochs (void **state)
+{
+	static const struct {
+		uint64_t era;
+		uint64_t offset;
+		uint64_t epoch;
+	} cases[] = {
+		{0, 0, 1},
+		{0, 41, 42},
+		{1, 0, UINT64_C (4294967297)},
+		{2, 7, UINT64_C (8589934600)},
+		{UINT64_C (1796438746), 0, (UINT64_C (1796438746) % 2097152 << 32) + 1},
+		{UINT64_MAX, UINT32_MAX, UINT64_C (1) << 53},
+	};
+	(void)state;
+	for (size_t i = 0; i < CS_ARRAY_LEN (cases); i++) {
+		uint64_t epoch = cs_formation_epoch (cases[i].era, cases[i].offset);
+		assert_int_equal (epoch, cases[i].epoch);
+		assert_int_equal ((uint64_t)(double)epoch, epoch);
+	}
+}
+
 int
 main (void)
 {
@@ -637,6 +661,7 @@
 		cmocka_unit_test (test_names),
 		cmocka_unit_test (test_name_of_other_epoch),
 		cmocka_unit_test (test_unlisted_member_left),
+		cmocka_unit_test (test_epochs),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
 }
