--- a/packages/decide/src/crash_counts.c
+++ b/packages/decide/src/crash_counts.c
@@ -23,6 +23,7 @@
 	break_t breaks[MAX_BREAKS];
 	size_t n;
 	int64_t refused_until_ms; /* 0: only while enough breaks count */
+	int64_t trial_ms;         /* when it may be sent once more; 0: not, or it was */
 	bool is_condemned;
 	bool asked; /* the others know that it is suspected */
 	bool told;  /* the others know that it is condemned */
@@ -141,8 +142,10 @@
 		if (now_ms - x->breaks[i].at_ms > CS_CRASH_WINDOW_MS)
 			drop_break (x, i);
 	}
-	if (!x->refused_until_ms && count (c, now_ms, x, true) >= CS_CRASH_LIMIT)
+	if (!x->refused_until_ms && count (c, now_ms, x, true) >= CS_CRASH_LIMIT) {
 		condemn (x, now_ms);
+		x->trial_ms = now_ms + CS_CRASH_TRIAL_MS;
+	}
 	if (!x->n && now_ms >= x->refused_until_ms && !x->owes_objection)
 		remove_content (c, x);
 }
@@ -174,8 +177,26 @@
 {
 	cs_crash_content_t *x = find_content (c, content);
 	*answer_slot (c, content) = (cs_crash_answer_t){content, now_ms};
-	if (x)
+	if (!x)
+		return;
+	if (!x->told) {
 		remove_content (c, x);
+		return;
+	}
+	while (x->n)
+		drop_break (x, 0);
+	x->refused_until_ms = 0;
+	x->owes_objection = true;
+}
+
+bool
+cs_crash_counts_take_trial (cs_crash_counts_t *c, int64_t now_ms, uint64_t content)
+{
+	cs_crash_content_t *x = find_content (c, content);
+	if (!x || !x->trial_ms || now_ms < x->trial_ms)
+		return false;
+	x->trial_ms = 0;
+	return true;
 }
 
 void
--- a/packages/forward/src/crashes.c
+++ b/packages/forward/src/crashes.c
@@ -71,6 +71,16 @@
 	return true;
 }
 
+bool
+cs_crashes_take_trial (const cs_call_t *c)
+{
+	if (!cs_crash_counts_take_trial (&c->forward->crashes, cs_now_ms (), c->content))
+		return false;
+	cs_log_event ("forward", "content_tried", "id=%.*s content=%016" PRIx64,
+		      CS_STR_ARG (cs_call_id (c)), c->content);
+	return true;
+}
+
 static void
 tell (cs_forward_t *f, int64_t now_ms, uint64_t content, cs_crash_verdict_t verdict)
 {
--- a/packages/forward/src/forward.h
+++ b/packages/forward/src/forward.h
@@ -270,6 +270,8 @@
 /* Records that a back end answered the request. */
 void cs_crashes_record_answer (const cs_call_t *c);
 bool cs_crashes_is_refused (const cs_call_t *c, uint32_t *retry_after_ms);
+/* True if this request may be sent although its content is refused: see CS_CRASH_TRIAL_MS. */
+bool cs_crashes_take_trial (const cs_call_t *c);
 /* Tells other daemons what this one has found; called at each tick. */
 void cs_crashes_tick (cs_forward_t *f, int64_t now_ms);
 /* Takes over a content that the store keeps. */
