--- a/packages/forward/src/crashes.c
+++ b/packages/forward/src/crashes.c
@@ -11,7 +11,7 @@
 
 enum {
 	MAX_TELL_DELAY_MS = 500, /* drawn, so that one of the daemons that know tells the others */
-	MAX_KEEP_DELAY_MS = 5000 /* the same after the store was restored, which all see at once */
+	MAX_KEEP_DELAY_MS = 2000 /* the same after the store was restored, which all see at once */
 };
 
 static cs_counter_t refused_contents = {
