--- a/packages/decide/include/cs/crash_counts.h
+++ b/packages/decide/include/cs/crash_counts.h
@@ -11,9 +11,7 @@
  *
  * Unlike cs_poison, which needs a record in an ordered log for each crash, this works with hints
  * that may be lost or late. A harmless content that meets three crashes is refused by a daemon that
- * has no answer to it until another one says
- * that it has. If nobody ever had one, the daemon that condemned it sends it once more after
- * CS_CRASH_TRIAL_MS: an answer clears it. */
+ * has no answer to it until another one says that it has. */
 #ifndef CS_CRASH_COUNTS_H
 #define CS_CRASH_COUNTS_H
 
@@ -25,7 +23,6 @@
 	CS_CRASH_LIMIT = 3,
 	CS_CRASH_WINDOW_MS = 60000,
 	CS_CRASH_REFUSED_MS = 600000,
-	CS_CRASH_TRIAL_MS = 15000, /* the back ends are back by then */
 	CS_CRASH_SUSPECTED_MS =
 		20000, /* the list shows well within this time whether a back end ended */
 	CS_CRASH_MAX_CONTENTS = 4096, /* the oldest ones are forgotten */
@@ -70,8 +67,7 @@
  * daemon or another one saw. False if that was known. */
 bool cs_crash_counts_add (cs_crash_counts_t *c, int64_t now_ms, uint64_t content,
 			  const char *back_end, uint64_t born);
-/* Records an answer to the content, which clears it here, and everywhere if others were told of it.
- */
+/* Records an answer to the content, which clears it. */
 void cs_crash_counts_answered (cs_crash_counts_t *c, int64_t now_ms, uint64_t content);
 /* Applies what another daemon tells. */
 void cs_crash_counts_hear (cs_crash_counts_t *c, int64_t now_ms, uint64_t content,
@@ -82,14 +78,13 @@
 /* Until when the content is refused; 0: it is not. */
 int64_t cs_crash_counts_refused_until_ms (const cs_crash_counts_t *c, int64_t now_ms,
 					  uint64_t content);
-/* True once, at the daemon that condemned the content, when it may be sent although it is refused.
- */
-bool cs_crash_counts_take_trial (cs_crash_counts_t *c, int64_t now_ms, uint64_t content);
 /* Confirms the breaks whose incarnations are listed no more, and forgets what is too old. To be
  * called a few times a second. */
 void cs_crash_counts_review (cs_crash_counts_t *c, int64_t now_ms);
 /* The next thing to tell the others and to keep; CS_CRASH_NOTHING if there is none. */
 cs_crash_verdict_t cs_crash_counts_next (cs_crash_counts_t *c, int64_t now_ms, uint64_t *content);
+/* True if cs_crash_counts_next has something to tell. */
+bool cs_crash_counts_has_next (const cs_crash_counts_t *c, int64_t now_ms);
 /* What was kept may be lost: what is condemned and not refused anew has to be kept again. */
 void cs_crash_counts_forget_kept (cs_crash_counts_t *c);
 
--- a/packages/decide/src/crash_counts.c
+++ b/packages/decide/src/crash_counts.c
@@ -23,7 +23,6 @@
 	break_t breaks[MAX_BREAKS];
 	size_t n;
 	int64_t refused_until_ms; /* 0: only while enough breaks count */
-	int64_t trial_ms;         /* when it may be sent once more; 0: not, or it was */
 	bool is_condemned;
 	bool asked; /* the others know that it is suspected */
 	bool told;  /* the others know that it is condemned */
@@ -142,10 +141,8 @@
 		if (now_ms - x->breaks[i].at_ms > CS_CRASH_WINDOW_MS)
 			drop_break (x, i);
 	}
-	if (!x->refused_until_ms && count (c, now_ms, x, true) >= CS_CRASH_LIMIT) {
+	if (!x->refused_until_ms && count (c, now_ms, x, true) >= CS_CRASH_LIMIT)
 		condemn (x, now_ms);
-		x->trial_ms = now_ms + CS_CRASH_TRIAL_MS;
-	}
 	if (!x->n && now_ms >= x->refused_until_ms && !x->owes_objection)
 		remove_content (c, x);
 }
@@ -177,26 +174,8 @@
 {
 	cs_crash_content_t *x = find_content (c, content);
 	*answer_slot (c, content) = (cs_crash_answer_t){content, now_ms};
-	if (!x)
-		return;
-	if (!x->told) {
+	if (x)
 		remove_content (c, x);
-		return;
-	}
-	while (x->n)
-		drop_break (x, 0);
-	x->refused_until_ms = 0;
-	x->owes_objection = true;
-}
-
-bool
-cs_crash_counts_take_trial (cs_crash_counts_t *c, int64_t now_ms, uint64_t content)
-{
-	cs_crash_content_t *x = find_content (c, content);
-	if (!x || !x->trial_ms || now_ms < x->trial_ms)
-		return false;
-	x->trial_ms = 0;
-	return true;
 }
 
 void
@@ -246,37 +225,53 @@
 	return count (c, now_ms, x, false) >= CS_CRASH_LIMIT ? now_ms + RECHECK_MS : 0;
 }
 
-/* What is to be told of the content, which is then marked as told. */
+/* What is to be told of the content. */
 static cs_crash_verdict_t
-verdict_of (cs_crash_counts_t *c, int64_t now_ms, cs_crash_content_t *x)
+verdict_of (const cs_crash_counts_t *c, int64_t now_ms, const cs_crash_content_t *x)
 {
-	if (x->owes_objection) {
-		remove_content (c, x);
+	if (x->owes_objection)
 		return CS_CRASH_WORKS;
-	}
-	if (x->is_condemned && !x->told) {
-		x->asked = x->told = x->kept = true;
+	if (x->is_condemned && !x->told)
 		return CS_CRASH_CONDEMNED;
-	}
-	if (x->told && !x->kept && now_ms < x->refused_until_ms) {
-		x->kept = true;
+	if (x->told && !x->kept && now_ms < x->refused_until_ms)
 		return CS_CRASH_KEEP;
-	}
 	if (x->asked || count (c, now_ms, x, false) < CS_CRASH_LIMIT)
 		return CS_CRASH_NOTHING;
-	x->asked = true;
 	return CS_CRASH_SUSPECTED;
 }
 
+bool
+cs_crash_counts_has_next (const cs_crash_counts_t *c, int64_t now_ms)
+{
+	for (const cs_crash_content_t *x = c->contents; x; x = x->hh.next)
+		if (verdict_of (c, now_ms, x) != CS_CRASH_NOTHING)
+			return true;
+	return false;
+}
+
+static void
+mark_told (cs_crash_counts_t *c, cs_crash_content_t *x, cs_crash_verdict_t verdict)
+{
+	if (verdict == CS_CRASH_WORKS) {
+		remove_content (c, x);
+		return;
+	}
+	x->asked = true;
+	x->told |= verdict == CS_CRASH_CONDEMNED;
+	x->kept |= verdict == CS_CRASH_CONDEMNED || verdict == CS_CRASH_KEEP;
+}
+
 cs_crash_verdict_t
 cs_crash_counts_next (cs_crash_counts_t *c, int64_t now_ms, uint64_t *content)
 {
 	cs_crash_content_t *x, *next;
 	HASH_ITER (hh, c->contents, x, next) {
-		*content = x->content;
 		cs_crash_verdict_t verdict = verdict_of (c, now_ms, x);
-		if (verdict != CS_CRASH_NOTHING)
-			return verdict;
+		if (verdict == CS_CRASH_NOTHING)
+			continue;
+		*content = x->content;
+		mark_told (c, x, verdict);
+		return verdict;
 	}
 	return CS_CRASH_NOTHING;
 }
--- a/packages/forward/src/crashes.c
+++ b/packages/forward/src/crashes.c
@@ -10,8 +10,7 @@
 #include "forward.h"
 
 enum {
-	MAX_TELL_DELAY_MS = 500, /* drawn, so that one of the daemons that know tells the others */
-	MAX_KEEP_DELAY_MS = 2000 /* the same after the store was restored, which all see at once */
+	MAX_TELL_DELAY_MS = 1500 /* several times what a note takes to all daemons */
 };
 
 static cs_counter_t refused_contents = {
@@ -71,16 +70,6 @@
 	return true;
 }
 
-bool
-cs_crashes_take_trial (const cs_call_t *c)
-{
-	if (!cs_crash_counts_take_trial (&c->forward->crashes, cs_now_ms (), c->content))
-		return false;
-	cs_log_event ("forward", "content_tried", "id=%.*s content=%016" PRIx64,
-		      CS_STR_ARG (cs_call_id (c)), c->content);
-	return true;
-}
-
 static void
 tell (cs_forward_t *f, int64_t now_ms, uint64_t content, cs_crash_verdict_t verdict)
 {
@@ -104,18 +93,24 @@
 			  ->msg);
 }
 
+/* Each verdict waits for a time that is drawn anew: what another daemon tells meanwhile need not be
+ * told again. */
 void
 cs_crashes_tick (cs_forward_t *f, int64_t now_ms)
 {
 	uint64_t content;
 	cs_crash_counts_review (&f->crashes, now_ms);
-	if (f->list_unreachable || now_ms < f->tell_contents_ms)
+	if (f->list_unreachable || !cs_crash_counts_has_next (&f->crashes, now_ms)) {
+		f->tell_contents_ms = 0;
 		return;
-	cs_crash_verdict_t verdict = cs_crash_counts_next (&f->crashes, now_ms, &content);
-	if (verdict == CS_CRASH_NOTHING)
+	}
+	if (!f->tell_contents_ms)
+		f->tell_contents_ms = now_ms + cs_rng_below (&f->rng, MAX_TELL_DELAY_MS);
+	if (now_ms < f->tell_contents_ms)
 		return;
+	cs_crash_verdict_t verdict = cs_crash_counts_next (&f->crashes, now_ms, &content);
 	tell (f, now_ms, content, verdict);
-	f->tell_contents_ms = now_ms + cs_rng_below (&f->rng, MAX_TELL_DELAY_MS);
+	f->tell_contents_ms = 0;
 }
 
 void
@@ -124,7 +119,6 @@
 	int64_t now = cs_now_ms ();
 	if (!m->content) { /* the kept ones follow: those that are missing were lost */
 		cs_crash_counts_forget_kept (&f->crashes);
-		f->tell_contents_ms = now + cs_rng_below (&f->rng, MAX_KEEP_DELAY_MS);
 		return;
 	}
 	cs_log_event ("forward", "content_read", "content=%016" PRIx64 " for_ms=%lld", m->content,
--- a/packages/forward/src/dispatch.c
+++ b/packages/forward/src/dispatch.c
@@ -116,7 +116,7 @@
 refuse_crashing (cs_call_t *c)
 {
 	uint32_t retry_after_ms;
-	if (!cs_crashes_is_refused (c, &retry_after_ms) || (!c->tries && cs_crashes_take_trial (c)))
+	if (!cs_crashes_is_refused (c, &retry_after_ms))
 		return false;
 	cs_dispatch_refuse (c, "crashes-back-ends", retry_after_ms);
 	return true;
--- a/packages/forward/src/forward.h
+++ b/packages/forward/src/forward.h
@@ -47,7 +47,8 @@
 	cs_answer_timeout_t answer_timeout;
 	cs_notices_t notices;
 	cs_crash_counts_t crashes;
-	int64_t tell_contents_ms;       /* no verdict on a content is published before then */
+	int64_t tell_contents_ms; /* when the next verdict on a content is published; 0: none is due
+				   */
 	cs_broken_note_t *broken_notes; /* not published yet */
 	cs_notices_t broken_notices;
 	ev_timer broken_timer;
@@ -270,8 +271,6 @@
 /* Records that a back end answered the request. */
 void cs_crashes_record_answer (const cs_call_t *c);
 bool cs_crashes_is_refused (const cs_call_t *c, uint32_t *retry_after_ms);
-/* True if this request may be sent although its content is refused: see CS_CRASH_TRIAL_MS. */
-bool cs_crashes_take_trial (const cs_call_t *c);
 /* Tells other daemons what this one has found; called at each tick. */
 void cs_crashes_tick (cs_forward_t *f, int64_t now_ms);
 /* Takes over a content that the store keeps. */
