forward: a planned stop answers what is unfinished, and refuses what completes late

Cause: admission compared the phase of the stop with the time at which the head of a request came. A body that ended late in the grace period was passed on, and at the exit its caller got a closed connection. Requests at a back end at the exit got the same. Change: the phase counts when the request is complete. At the exit each request without a part of an answer is told whether it may have run (502) or has not (503); decide/stop says which.

--- a/packages/decide/include/cs/stop.h
+++ b/packages/decide/include/cs/stop.h
@@ -27,4 +27,21 @@
 cs_stop_phase_t cs_stop_phase (int64_t stopping_ms, int64_t now_ms, uint32_t grace_ms,
 			       size_t in_progress);
 
+/* What the caller of a request that is unfinished at the exit gets. */
+typedef enum {
+	CS_STOP_LEAVE_ALONE,  /* its answer is already determined */
+	CS_STOP_NOT_RUN,      /* an answer that says it has not run */
+	CS_STOP_MAY_HAVE_RUN, /* an answer that says nothing of that */
+	CS_STOP_CUT           /* a part of an answer was sent: it is broken off */
+} cs_stop_answer_t;
+
+typedef struct {
+	bool has_ended; /* its answer is determined; bytes of it may still wait for the caller */
+	bool has_head;  /* the head of an answer was passed on */
+	bool is_at_back_end; /* an attempt is in progress */
+	uint32_t runs;       /* attempts that ran or may have run */
+} cs_stop_request_t;
+
+cs_stop_answer_t cs_stop_answer (const cs_stop_request_t *r);
+
 #endif
--- a/packages/decide/src/stop.c
+++ b/packages/decide/src/stop.c
@@ -12,3 +12,13 @@
 		return CS_STOP_ACCEPTING;
 	return in_progress ? CS_STOP_REFUSING : CS_STOP_EXIT;
 }
+
+cs_stop_answer_t
+cs_stop_answer (const cs_stop_request_t *r)
+{
+	if (r->has_ended)
+		return CS_STOP_LEAVE_ALONE;
+	if (r->has_head)
+		return CS_STOP_CUT;
+	return r->runs || r->is_at_back_end ? CS_STOP_MAY_HAVE_RUN : CS_STOP_NOT_RUN;
+}
--- a/packages/decide/tests/test_stop.c
+++ b/packages/decide/tests/test_stop.c
@@ -36,9 +36,34 @@
 	}
 }
 
+/* No caller is left without an answer at the exit, unless a part of one was sent. */
+static void
+test_answers (void **state)
+{
+	static const struct {
+		cs_stop_request_t request;
+		cs_stop_answer_t answer;
+	} cases[] = {
+		{{.runs = 0}, CS_STOP_NOT_RUN},
+		{{.runs = 1}, CS_STOP_MAY_HAVE_RUN},
+		{{.is_at_back_end = true}, CS_STOP_MAY_HAVE_RUN},
+		{{.is_at_back_end = true, .runs = 2}, CS_STOP_MAY_HAVE_RUN},
+		{{.has_head = true}, CS_STOP_CUT},
+		{{.has_head = true, .is_at_back_end = true, .runs = 1}, CS_STOP_CUT},
+		{{.has_ended = true}, CS_STOP_LEAVE_ALONE},
+		{{.has_ended = true, .has_head = true, .runs = 1}, CS_STOP_LEAVE_ALONE},
+	};
+	(void)state;
+	for (size_t i = 0; i < CS_ARRAY_LEN (cases); i++)
+		if (cs_stop_answer (&cases[i].request) != cases[i].answer)
+			fail_msg ("case %zu: answer %d, expected %d", i,
+				  (int)cs_stop_answer (&cases[i].request), (int)cases[i].answer);
+}
+
 int
 main (void)
 {
-	const struct CMUnitTest tests[] = {cmocka_unit_test (test_phases)};
+	const struct CMUnitTest tests[] = {cmocka_unit_test (test_phases),
+					   cmocka_unit_test (test_answers)};
 	return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/packages/forward/src/admit.c
+++ b/packages/forward/src/admit.c
@@ -14,7 +14,6 @@
 	STATUS_UNAVAILABLE = 503,
 	STATUS_HTTP_VERSION = 505,
 	MAX_TIMEOUT_MS = 30000,  /* upper bound, and the value when the caller states none */
-	STOPPING_RETRY_MS = 50,  /* another daemon can accept the request immediately */
 	NO_CONFIG_RETRY_MS = 500 /* a started daemon reads the store within this time */
 };
 
@@ -59,6 +58,17 @@
 	cs_reply_own (c, status, reason, retry_after_ms);
 }
 
+/* Refuses a request for what the configuration does not have. A newer one that has not been read
+ * yet may have it. */
+static void
+refuse_unknown (cs_call_t *c, int status, const char *reason)
+{
+	if (c->forward->config_behind)
+		refuse (c, STATUS_UNAVAILABLE, "configuration-behind", NO_CONFIG_RETRY_MS);
+	else
+		refuse (c, status, reason, 0);
+}
+
 /* Tells the task "former" that there is traffic: only from then on are loads of weights spread
  * over time. */
 static void
@@ -76,9 +86,10 @@
 {
 	cs_forward_t *f = c->forward;
 	report_traffic (f);
-	if (cs_stop_phase (f->stopping_ms, c->received_ms, f->host->grace_ms, 1) >=
+	/* Not as of received_ms: a body may arrive long after its head. */
+	if (cs_stop_phase (f->stopping_ms, cs_now_ms (), f->host->grace_ms, 1) >=
 	    CS_STOP_REFUSING) {
-		refuse (c, STATUS_UNAVAILABLE, "stopping", STOPPING_RETRY_MS);
+		refuse (c, STATUS_UNAVAILABLE, "stopping", CS_STOPPING_RETRY_MS);
 		return;
 	}
 	if (!f->serving || !f->list_read) {
@@ -95,12 +106,12 @@
 	c->route = cs_serving_find_route (c->serving, cs_headers_find (&c->headers, "Host"),
 					  path_of (c));
 	if (!c->route) {
-		refuse (c, STATUS_NOT_FOUND, "no-route", 0);
+		refuse_unknown (c, STATUS_NOT_FOUND, "no-route");
 		return;
 	}
 	c->team = cs_serving_find_team (c->serving, cs_headers_find (&c->headers, f->names->key));
 	if (!c->team && !c->route->is_public && c->serving->n_teams) {
-		refuse (c, STATUS_UNAUTHORIZED, "unknown-key", 0);
+		refuse_unknown (c, STATUS_UNAUTHORIZED, "unknown-key");
 		return;
 	}
 	if (c->is_http_1_0 && c->route->kind == CS_KIND_STREAM) {
--- a/packages/forward/src/attempt_end.c
+++ b/packages/forward/src/attempt_end.c
@@ -169,7 +169,7 @@
 	record_result (s, a);
 	cs_queue_record_attempt_end (c->forward, s->service);
 	cs_counts_attempt_ended (a);
-	if (!c->abandoned) {
+	if (!c->abandoned && !c->ended) {
 		c->runs += cs_outcome_run (a) != CS_RUN_NO;
 		cs_request_state_t state = cs_call_state (c);
 		cs_next_step_t then = cs_outcome_next_step (a, &state);
--- a/packages/forward/src/backend_request.c
+++ b/packages/forward/src/backend_request.c
@@ -505,3 +505,11 @@
 	if (c->backend_request)
 		cs_http_cancel (&c->backend_request->http);
 }
+
+void
+cs_backend_request_cancel_blameless (cs_call_t *c)
+{
+	if (c->backend_request)
+		c->backend_request->timed_out = true;
+	cs_backend_request_cancel (c);
+}
--- a/packages/forward/src/call.c
+++ b/packages/forward/src/call.c
@@ -2,8 +2,14 @@
 #include <string.h>
 #include <utlist.h>
 
+#include "cs/stop.h"
 #include "forward.h"
 
+enum {
+	STATUS_BAD_GATEWAY = 502,
+	STATUS_UNAVAILABLE = 503
+};
+
 static void
 on_retry_timer (struct ev_loop *loop, ev_timer *w, int events)
 {
@@ -75,3 +81,30 @@
 				    .has_position = !c->events.unnumbered,
 				    .may_repeat = true};
 }
+
+void
+cs_call_end_at_exit (cs_call_t *c)
+{
+	const cs_stop_request_t request = {.has_ended = c->ended || c->abandoned,
+					   .has_head = c->has_head,
+					   .is_at_back_end = c->backend_request != NULL,
+					   .runs = c->runs};
+	if (c->phase == CS_CALL_READING)
+		return;
+	switch (cs_stop_answer (&request)) {
+	case CS_STOP_LEAVE_ALONE:
+		return;
+	case CS_STOP_NOT_RUN:
+		cs_reply_own (c, STATUS_UNAVAILABLE, "stopping", CS_STOPPING_RETRY_MS);
+		break;
+	case CS_STOP_MAY_HAVE_RUN:
+		cs_reply_own (c, STATUS_BAD_GATEWAY, "stopping", 0);
+		break;
+	case CS_STOP_CUT:
+		cs_reply_end (c, false);
+		break;
+	}
+	cs_queue_remove (c);
+	ev_timer_stop (c->forward->task->kernel->loop, &c->retry_timer);
+	cs_backend_request_cancel_blameless (c);
+}
--- a/packages/forward/src/forward.c
+++ b/packages/forward/src/forward.c
@@ -27,6 +27,10 @@
 	if (phase != CS_STOP_EXIT || f->stopped)
 		return;
 	f->stopped = true;
+	/* Requests that have arrived are read first. */
+	cs_httpd_run_last (&f->callers);
+	for (cs_call_t *c = f->calls; c; c = c->next)
+		cs_call_end_at_exit (c);
 	cs_httpd_run_last (&f->callers);
 	cs_log_event ("daemon", "stopped", "in_progress=%zu after_ms=%lld", in_progress,
 		      (long long)(cs_now_ms () - f->stopping_ms));
@@ -132,6 +136,9 @@
 		cs_log_event ("list", state->is_true ? "regained" : "lost", "back_ends=%u",
 			      (unsigned)HASH_COUNT (f->fleet.entries));
 		break;
+	case CS_HOST_CONFIG_BEHIND:
+		f->config_behind = state->is_true;
+		break;
 	case CS_HOST_NOTE:
 		cs_notes_receive (f, cs_buf_str (&((cs_ledger_msg_t *)m)->bytes));
 		break;
--- a/packages/forward/src/forward.h
+++ b/packages/forward/src/forward.h
@@ -63,7 +63,8 @@
 	ev_timer tick;
 	int64_t stopping_ms; /* start of the graceful shutdown; 0: not stopping */
 	bool stopped;
-	bool has_traffic; /* at least one request has been received */
+	bool has_traffic;   /* at least one request has been received */
+	bool config_behind; /* a newer configuration exists and has not been read */
 } cs_forward_t;
 
 /* A header line. Both strings are owned by the list. */
@@ -124,6 +125,10 @@
 	uint32_t events;
 } cs_backend_request_t;
 
+enum {
+	CS_STOPPING_RETRY_MS = 50 /* another daemon can accept the request immediately */
+};
+
 typedef enum {
 	CS_CALL_READING,
 	CS_CALL_WAITING,  /* no response head yet */
@@ -197,6 +202,8 @@
 /* The state on which the next step is decided; deadline and retry budget are assumed to allow one.
  */
 cs_request_state_t cs_call_state (const cs_call_t *c);
+/* Answers a request that is unfinished when this process exits, and ends its attempt. */
+void cs_call_end_at_exit (cs_call_t *c);
 /* admit.c: finds the route and the team and dispatches the request, or answers with an error. */
 void cs_admit (cs_call_t *c);
 /* dispatch.c: sends the request to a back end, queues it, or refuses it. */
