--- a/packages/engine/src/answer.c
+++ b/packages/engine/src/answer.c
@@ -85,13 +85,15 @@
 	cs_http_cancel (&a->call);
 }
 
-/* An engine that refuses with 409 or 503 has not run any part of the request. Every other
- * answer must echo the request id, the group and the fencing number. Only an event stream
- * can continue a resumed answer. */
+/* An engine that refuses with 409 or 503 has not run any part of the request. A refusal that names
+ * no request may, on a connection that was used before, be one of an earlier request that was sent
+ * again. Every other answer must echo the request id, the group and the fencing number. Only an
+ * event stream can continue a resumed answer. */
 static void
 validate_model_head (cs_attempt_t *a)
 {
-	bool is_refusal = a->status == 409 || a->status == 503;
+	bool is_refusal = (a->status == 409 || a->status == 503) &&
+			  (a->request_matches || !a->call.is_reused);
 	bool is_expected = a->request_matches && a->group_matches && a->fence_matches &&
 			   !a->names_other_request && !a->names_other_group;
 	bool is_resumed = a->dispatch->resume_from > 0;
--- a/packages/engine/tests/test_engine.c
+++ b/packages/engine/tests/test_engine.c
@@ -252,9 +252,10 @@
 	{"HTTP/1.1 500 Fault\r\n" ECHO_7 "Content-Length: 1\r\n\r\nx", false, 1, CS_END_BROKEN, 0,
 	 500, "", 0, 0, false},
 	{"HTTP/1.1 204 None\r\n" ECHO_7 "\r\n", false, 1, CS_END_BROKEN, 0, 204, "", 0, 0, false},
-	{"HTTP/1.1 503 Not ready\r\nContent-Length: 1\r\n\r\nx", false, 1, CS_END_REFUSED, 0, 503,
+	/* On a new connection a refusal need not name the request. */
+	{"HTTP/1.1 503 Not ready\r\nContent-Length: 1\r\n\r\nx", true, 1, CS_END_REFUSED, 0, 503,
 	 "", 0, 0, false},
-	{"HTTP/1.1 409 Conflict\r\nContent-Type: text/event-stream\r\n" CHUNKED TOKEN_2 DONE, false,
+	{"HTTP/1.1 409 Conflict\r\nContent-Type: text/event-stream\r\n" CHUNKED TOKEN_2 DONE, true,
 	 1, CS_END_REFUSED, 0, 409, "", 0, 0, false},
 	{EVENTS CHUNKED DONE, false, 1, CS_END_OK, 0, 200, TEXT_DONE, 1, 0, true},
 	{EVENTS "\r\nid: 2\ndata: b\n\n", true, 1, CS_END_BROKEN, 0, 200, TEXT_2, 0, 1, true},
@@ -266,8 +267,17 @@
 	{"HTTP/1.1 409 Conflict\r\nX-Cs-Request: 0000000000000007\r\nX-Cs-Fence: 10\r\n"
 	 "Content-Length: 1\r\n\r\nx",
 	 false, 0, CS_END_REFUSED, 0, 409, "", 0, 0, false},
+	/* On a connection used before it may be that of an earlier request, sent again. */
+	{"HTTP/1.1 503 Not ready\r\nContent-Length: 0\r\n\r\n", false, 0, CS_END_WRONG_GROUP, 0,
+	 503, "", 0, 0, false},
 	{"HTTP/1.1 503 Not ready\r\nContent-Length: 0\r\n\r\n", false, 0, CS_END_REFUSED, 0, 503,
 	 "", 0, 0, false},
+	{"HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n", false, 0, CS_END_WRONG_GROUP, 0, 409,
+	 "", 0, 0, false},
+	{"HTTP/1.1 503 Not ready\r\nContent-Length: 0\r\n\r\n", false, 0, CS_END_REFUSED, 0, 503,
+	 "", 0, 0, false},
+	{"HTTP/1.1 503 Not ready\r\n" ECHO_7 "Content-Length: 0\r\n\r\n", false, 0, CS_END_REFUSED,
+	 0, 503, "", 0, 0, false},
 	{"HTTP/1.1 409 Conflict\r\nX-Cs-Request: 8\r\nContent-Length: 0\r\n\r\n", false, 0,
 	 CS_END_WRONG_GROUP, 0, 409, "", 0, 0, false},
 	/* An answer that names this request and another. */
@@ -345,6 +355,34 @@
 	assert_null (strstr (b->server.last_request.p, "X-Cs-Group"));
 }
 
+/* A head that stops at any byte with its connection is no answer, whatever it says of the body. */
+static void
+test_truncated_heads (void **state)
+{
+	static const struct {
+		bool model;
+		const char *head;
+	} cases[] = {
+		{true, EVENTS CHUNKED},
+		{true, EVENTS "\r\n"},
+		{true, JSON "Content-Length: 0\r\n\r\n"},
+		{true, "HTTP/1.1 503 Not ready\r\nContent-Length: 0\r\n\r\n"},
+		{false, PLAIN_200 "Content-Length: 0\r\n\r\n"},
+		{false, PLAIN_200 CHUNKED},
+		{false, "HTTP/1.1 204 None\r\n\r\n"},
+	};
+	for (size_t i = 0; i < CS_ARRAY_LEN (cases); i++)
+		for (size_t cut = 0; cut < strlen (cases[i].head); cut++) {
+			char *head = cs_str_dup (cs_str_n (cases[i].head, cut));
+			const attempt_case_t c = {.answer = head,
+						  .close = true,
+						  .result = CS_END_BROKEN,
+						  .bytes = ""};
+			check_attempt (*state, cases[i].model, &c);
+			free (head);
+		}
+}
+
 /* Answers of protected requests. What ends as CS_END_OK is kept as the outcome. */
 static void
 test_buffered (void **state)
@@ -553,6 +591,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup_teardown (test_model_attempts, setup, teardown),
 		cmocka_unit_test_setup_teardown (test_plain_attempts, setup, teardown),
+		cmocka_unit_test_setup_teardown (test_truncated_heads, setup, teardown),
 		cmocka_unit_test_setup_teardown (test_buffered, setup, teardown),
 		cmocka_unit_test_setup_teardown (test_answer_before_the_request, setup, teardown),
 		cmocka_unit_test_setup_teardown (test_not_sent_and_cancel, setup, teardown),
--- a/standins/common/server.c
+++ b/standins/common/server.c
@@ -100,8 +100,12 @@
 enum MHD_Result
 server_reply_error (server_request_t *r, unsigned status, const char *text)
 {
-	return server_reply (r, status,
-			     json_pack ("{s:i, s:s}", "error_code", (int)status, "message", text));
+	struct MHD_Response *response = server_json_response (
+		json_pack ("{s:i, s:s}", "error_code", (int)status, "message", text));
+	const char *id = server_header (r, "X-Cs-Request");
+	if (*id)
+		MHD_add_response_header (response, "X-Cs-Request", id);
+	return server_queue_response (r, status, response);
 }
 
 bool
