--- /dev/null
+++ b/packages/decide/include/cs/read_source.h
@@ -0,0 +1,29 @@
+/* Where a daemon reads on from in a topic that it follows. Answers the load of large configurations
+ * that come in quick succession while links are narrow: mirrors do not hold them, and reading each
+ * one before the next takes longer than the time in which a change has to be in force. */
+#ifndef CS_READ_SOURCE_H
+#define CS_READ_SOURCE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+typedef enum {
+	CS_READ_MIRROR,  /* another daemon's copy, which may wait until there is a record */
+	CS_READ_STORE,   /* the records from the position on */
+	CS_READ_LISTING, /* the newest record of each key, past those that it supersedes */
+} cs_read_source_t;
+
+typedef struct {
+	uint64_t next;       /* offset of the next record to read */
+	uint64_t end;        /* highest end of the topic that an answer has told */
+	bool is_superseding; /* a value makes the earlier ones of its key useless, and few keys
+				exist */
+	bool has_mirror;
+	bool mirror_lacks; /* the mirror has told of a record that it does not hold */
+} cs_read_state_t;
+
+cs_read_source_t cs_read_source (const cs_read_state_t *s);
+/* True if there are records that have not been read. */
+bool cs_read_is_behind (const cs_read_state_t *s);
+
+#endif
--- /dev/null
+++ b/packages/decide/src/read_source.c
@@ -0,0 +1,22 @@
+#include "cs/read_source.h"
+
+enum {
+	LISTING_MIN_RECORDS = 2 /* a listing is as long as one record, and a third more in base64 */
+};
+
+bool
+cs_read_is_behind (const cs_read_state_t *s)
+{
+	return s->next < s->end;
+}
+
+cs_read_source_t
+cs_read_source (const cs_read_state_t *s)
+{
+	uint64_t missing = cs_read_is_behind (s) ? s->end - s->next : 0;
+	if (s->is_superseding && missing >= LISTING_MIN_RECORDS)
+		return CS_READ_LISTING;
+	if (missing && (s->is_superseding || s->mirror_lacks))
+		return CS_READ_STORE;
+	return s->has_mirror ? CS_READ_MIRROR : CS_READ_STORE;
+}
--- /dev/null
+++ b/packages/decide/tests/test_read_source.c
@@ -0,0 +1,40 @@
+/* Guards against configurations that are read one after the other although only the newest counts,
+ * and against asking a mirror for what it does not hold. */
+#include "cs/read_source.h"
+#include "cs_test.h"
+
+static const struct {
+	const char *name;
+	cs_read_state_t state;
+	cs_read_source_t source;
+	bool is_behind;
+} cases[] = {
+	{"at the end, with a mirror", {5, 5, true, true, false}, CS_READ_MIRROR, false},
+	{"at the end, without one", {5, 5, true, false, false}, CS_READ_STORE, false},
+	{"one configuration behind", {5, 6, true, true, false}, CS_READ_STORE, true},
+	{"two behind", {5, 7, true, true, false}, CS_READ_LISTING, true},
+	{"many behind, without a mirror", {5, 40, true, false, false}, CS_READ_LISTING, true},
+	{"a list behind its mirror", {5, 40, false, true, false}, CS_READ_MIRROR, true},
+	{"a list whose mirror lacks a record", {5, 40, false, true, true}, CS_READ_STORE, true},
+	{"a list that has caught up", {40, 40, false, true, true}, CS_READ_MIRROR, false},
+	{"a list behind, without a mirror", {5, 40, false, false, false}, CS_READ_STORE, true},
+	{"an older end", {5, 3, true, true, false}, CS_READ_MIRROR, false},
+};
+
+static void
+test_sources (void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < CS_ARRAY_LEN (cases); i++) {
+		print_message ("%s\n", cases[i].name);
+		assert_int_equal (cs_read_source (&cases[i].state), cases[i].source);
+		assert_int_equal (cs_read_is_behind (&cases[i].state), cases[i].is_behind);
+	}
+}
+
+int
+main (void)
+{
+	const struct CMUnitTest tests[] = {cmocka_unit_test (test_sources)};
+	return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/packages/forward/src/forward.h
+++ b/packages/forward/src/forward.h
@@ -237,9 +237,11 @@
 cs_status_t cs_backend_request_start (cs_call_t *c, const char *backend_id, const char *service);
 /* Pauses or resumes reading a stream, for back-pressure from a slow caller. */
 void cs_backend_request_pause (cs_call_t *c, bool paused);
-/* Cancels the attempt in progress, if any. The call must be marked as abandoned, so that no next
- * step follows. */
+/* Cancels the attempt in progress, if any. The call must be marked as abandoned or ended, so that
+ * no next step follows. */
 void cs_backend_request_cancel (cs_call_t *c);
+/* The same for an attempt that is no fault of its back end, as this process exits. */
+void cs_backend_request_cancel_blameless (cs_call_t *c);
 /* attempt_end.c: records that the attempt has made no progress, so that other requests avoid the
  * back end. */
 void cs_attempt_stalled (const cs_backend_request_t *s);
--- a/packages/forward/tests/test_relay.c
+++ b/packages/forward/tests/test_relay.c
@@ -1037,6 +1037,41 @@
 
 /* The daemon exits before it has read what callers sent, as when it was paused: they get a refusal,
  * not a connection that ends without an answer. */
+/* What only a configuration that has not been read yet may have is not denied for good. */
+static void
+test_configuration_behind (void **state)
+{
+	static const struct {
+		const char *request;
+		bool is_behind;
+		const char *status;
+		const char *reason;
+	} rows[] = {
+		{HEAD ("GET /new/a") CLOSE "\r\n", false, " 404 ", "no-route"},
+		{HEAD ("GET /new/a") CLOSE "\r\n", true, " 503 ", "configuration-behind"},
+		{"GET /safe/a HTTP/1.1\r\nHost: h\r\nX-Key: new\r\n" CLOSE "\r\n", false, " 401 ",
+		 "unknown-key"},
+		{"GET /safe/a HTTP/1.1\r\nHost: h\r\nX-Key: new\r\n" CLOSE "\r\n", true, " 503 ",
+		 "configuration-behind"},
+		{SAFE, true, " 200 ", "whole"},
+	};
+	static const step_t step = {.bytes = COMPLETE};
+	for (size_t i = 0; i < CS_ARRAY_LEN (rows); i++) {
+		caller_t c;
+		relay_setup (state);
+		relay_t *r = *state;
+		relay_list (r, 0, 8);
+		relay_script (r, &step, 1);
+		cs_send (NULL, cs_task_find (&r->kernel, "forward"),
+			 &cs_state_msg (CS_HOST_CONFIG_BEHIND, rows[i].is_behind, 0)->msg);
+		relay_request (r, &c, rows[i].request);
+		assert_int_equal (relay_count (&c.answer, rows[i].status), 1);
+		assert_int_equal (relay_count (&c.answer, rows[i].reason), 1);
+		caller_close (&c, r->kernel.loop);
+		relay_teardown (state);
+	}
+}
+
 static void
 test_requests_waiting_at_exit (void **state)
 {
@@ -1149,6 +1184,7 @@
 		cmocka_unit_test (test_slow_caller),
 		cmocka_unit_test (test_large_body),
 		cmocka_unit_test (test_not_ready),
+		cmocka_unit_test (test_configuration_behind),
 		cmocka_unit_test (test_timeout_of_busy_stream),
 		cmocka_unit_test (test_requests_waiting_at_exit),
 	};
--- a/packages/host/include/cs/host_messages.h
+++ b/packages/host/include/cs/host_messages.h
@@ -4,6 +4,7 @@
  * requests), "former" (plans the groups).
  *
  *   store  -> forward, former  SERVING, BACKEND, LIST_STATE
+ *   store  -> forward          CONFIG_BEHIND
  *   store  -> former           TURN, LEDGER, PROPOSED
  *   former -> store            PROPOSE
  *   forward, former <-> store  NOTE, through the store to all daemons
@@ -23,6 +24,7 @@
 	CS_HOST_SERVING = 1000, /* a newer configuration has taken effect */
 	CS_HOST_BACKEND,
 	CS_HOST_LIST_STATE,
+	CS_HOST_CONFIG_BEHIND, /* is_true: a newer configuration is known of, but not read yet */
 	CS_HOST_PLANNER_LEASE,
 	CS_HOST_LEDGER,
 	CS_HOST_PROPOSE,
