--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -1,6 +1,6 @@
 # cs_package (NAME DEPS...): a static library from src/*.c (and *.cc) with the
 # public headers of include/, and one cmocka program for each tests/test_*.c and
-# tests/invariant_*.c, run with the arguments of the variable PROGRAM_arguments, if set.
+# tests/invariant_*.c, with the library of tests/support_*.c, run with the arguments of the variable PROGRAM_arguments, if set.
 # A package without sources becomes an interface library.
 #
 # tests/without.txt lists "PROGRAM MECHANISM" pairs: the program must fail when the
@@ -28,11 +28,18 @@
 	if (CS_DAEMON_ONLY)
 		return ()
 	endif ()
+	set (libraries cs_${name} cs_testing)
+	if (helpers)
+		add_library (${name}_support STATIC ${helpers})
+		target_include_directories (${name}_support PRIVATE src tests)
+		target_link_libraries (${name}_support PUBLIC ${libraries})
+		set (libraries ${name}_support)
+	endif ()
 	foreach (t ${tests})
 		get_filename_component (base ${t} NAME_WE)
-		add_executable (${name}_${base} ${t} ${helpers})
+		add_executable (${name}_${base} ${t})
 		target_include_directories (${name}_${base} PRIVATE src tests)
-		target_link_libraries (${name}_${base} PRIVATE cs_${name} cs_testing)
+		target_link_libraries (${name}_${base} PRIVATE ${libraries})
 		add_test (NAME ${name}/${base} COMMAND ${name}_${base} ${${base}_arguments})
 		set_tests_properties (${name}/${base} PROPERTIES TIMEOUT 120)
 	endforeach ()
