crash counts: a condemned content is tried once more, and an answer that comes late clears it

Cause: a content that met three crashes and was never answered had nothing that could clear it: all daemons refused it for ten minutes. And an answer that came after the verdict cleared it only at the daemon that had it.

The daemon whose verdict stands first in the topic may send one more request of the content; what crashes back ends costs one more, of the three that the platform allows. A daemon that has an answer to a content that it or another one has judged tells it.

--- a/packages/decide/include/cs/crash_counts.h
+++ b/packages/decide/include/cs/crash_counts.h
@@ -9,9 +9,12 @@
  * many breaks confirmed the content is condemned: all daemons refuse it for CS_CRASH_REFUSED_MS,
  * also those that start later.
  *
+ * A harmless content that met as many crashes is told from one that causes them by one more
+ * request: the daemon whose verdict is read first may send it, once. If it is answered, so that
+ * daemon says.
+ *
  * Unlike cs_poison, which needs a record in an ordered log for each crash, this works with hints
- * that may be lost or late. A harmless content that meets three crashes is refused by a daemon that
- * has no answer to it until another one says that it has. */
+ * that may be lost or late. */
 #ifndef CS_CRASH_COUNTS_H
 #define CS_CRASH_COUNTS_H
 
@@ -67,15 +70,17 @@
  * daemon or another one saw. False if that was known. */
 bool cs_crash_counts_add (cs_crash_counts_t *c, int64_t now_ms, uint64_t content,
 			  const char *back_end, uint64_t born);
-/* Records an answer to the content, which clears it. */
+/* Records an answer to the content, which clears it, here and at the daemons that were told. */
 void cs_crash_counts_answered (cs_crash_counts_t *c, int64_t now_ms, uint64_t content);
-/* Applies what another daemon tells. */
+/* Applies what a daemon tells; own: this one, in the order in which all read it. */
 void cs_crash_counts_hear (cs_crash_counts_t *c, int64_t now_ms, uint64_t content,
-			   cs_crash_verdict_t verdict);
+			   cs_crash_verdict_t verdict, bool own);
+/* Records that a request of the content is sent. True if it is the one that tries it. */
+bool cs_crash_counts_sent (cs_crash_counts_t *c, uint64_t content);
 /* Refuses the content until until_ms, as it was kept. */
 void cs_crash_counts_refuse (cs_crash_counts_t *c, int64_t now_ms, uint64_t content,
 			     int64_t until_ms);
-/* Until when the content is refused; 0: it is not. */
+/* Until when the content is refused; 0: it is not, or this request is the one that tries it. */
 int64_t cs_crash_counts_refused_until_ms (const cs_crash_counts_t *c, int64_t now_ms,
 					  uint64_t content);
 /* Confirms the breaks whose incarnations are listed no more, and forgets what is too old. To be
--- a/packages/decide/src/crash_counts.c
+++ b/packages/decide/src/crash_counts.c
@@ -28,6 +28,8 @@
 	bool told;  /* the others know that it is condemned */
 	bool kept;
 	bool owes_objection; /* another daemon suspects it, and this one has had an answer */
+	bool has_first;      /* a verdict was read; the first one chooses who tries once more */
+	bool may_try;        /* one more request of it may be sent */
 	UT_hash_handle hh;
 };
 
@@ -174,15 +176,33 @@
 {
 	cs_crash_content_t *x = find_content (c, content);
 	*answer_slot (c, content) = (cs_crash_answer_t){content, now_ms};
-	if (x)
+	if (!x)
+		return;
+	if (!x->asked && !x->told) {
 		remove_content (c, x);
+		return;
+	}
+	while (x->n)
+		drop_break (x, 0);
+	x->refused_until_ms = 0;
+	x->owes_objection = true;
+}
+
+/* All daemons read the verdicts in one order. */
+static void
+choose_trier (cs_crash_content_t *x, bool own)
+{
+	x->may_try |= own && !x->has_first;
+	x->has_first = true;
 }
 
 void
 cs_crash_counts_hear (cs_crash_counts_t *c, int64_t now_ms, uint64_t content,
-		      cs_crash_verdict_t verdict)
+		      cs_crash_verdict_t verdict, bool own)
 {
 	cs_crash_content_t *x = find_content (c, content);
+	if (own && (!x || !x->is_condemned || !x->told))
+		return; /* of an earlier process */
 	if (verdict == CS_CRASH_WORKS) {
 		if (x)
 			remove_content (c, x);
@@ -195,11 +215,24 @@
 	if (has_answer (c, now_ms, content)) {
 		x->owes_objection = true;
 	} else if (verdict == CS_CRASH_CONDEMNED) {
+		choose_trier (x, own);
+		if (own)
+			return;
 		condemn (x, now_ms);
 		x->told = x->kept = true; /* by the one that tells it */
 	}
 }
 
+bool
+cs_crash_counts_sent (cs_crash_counts_t *c, uint64_t content)
+{
+	cs_crash_content_t *x = find_content (c, content);
+	if (!x || !x->may_try)
+		return false;
+	x->may_try = false;
+	return true;
+}
+
 void
 cs_crash_counts_refuse (cs_crash_counts_t *c, int64_t now_ms, uint64_t content, int64_t until_ms)
 {
@@ -220,6 +253,8 @@
 	const cs_crash_content_t *x = find_content (c, content);
 	if (!x)
 		return 0;
+	if (x->may_try)
+		return 0;
 	if (now_ms < x->refused_until_ms)
 		return x->refused_until_ms;
 	return count (c, now_ms, x, false) >= CS_CRASH_LIMIT ? now_ms + RECHECK_MS : 0;
--- a/packages/decide/tests/test_crash_counts.c
+++ b/packages/decide/tests/test_crash_counts.c
@@ -169,7 +169,7 @@
 		cs_crash_counts_answered (c, s->at_ms, 7);
 		break;
 	case HEARS:
-		cs_crash_counts_hear (c, s->at_ms, 7, (cs_crash_verdict_t)s->back_end);
+		cs_crash_counts_hear (c, s->at_ms, 7, (cs_crash_verdict_t)s->back_end, false);
 		break;
 	}
 }
@@ -226,6 +226,78 @@
 	}
 }
 
+/* A content that three back ends have ended under, by what this daemon saw, is condemned; verdicts
+ * are read, and requests are sent and end. */
+static const struct {
+	const char *name;
+	const char *steps; /* o, c: its own verdict or another one's; r: a request, refused if it is
+			      in capitals; a: it is answered; b: it breaks */
+	const char *tells; /* in the end */
+} trials[] = {
+	{"no verdict read yet", "R", ""},
+	{"its own verdict is the first: one request tries", "orR", ""},
+	{"another verdict is the first", "coR", ""},
+	{"its own verdict is read twice", "orRoR", ""},
+	{"the request that tries breaks", "orbR", ""},
+	{"the request that tries is answered", "orar", "w"},
+	{"a request is answered that was sent before", "cRar", "w"},
+	{"condemned once more after a trial that broke", "orbcR", ""},
+};
+
+static bool
+is_refused (const cs_crash_counts_t *c, int64_t now)
+{
+	return cs_crash_counts_refused_until_ms (c, now, 7) > now;
+}
+
+static void
+take_trial_step (cs_crash_counts_t *c, int64_t now, char step)
+{
+	switch (step) {
+	case 'o':
+	case 'c':
+		cs_crash_counts_hear (c, now, 7, CS_CRASH_CONDEMNED, step == 'o');
+		break;
+	case 'r':
+	case 'R':
+		assert_int_equal (is_refused (c, now), step == 'R');
+		cs_crash_counts_sent (c, 7);
+		break;
+	case 'a':
+		cs_crash_counts_answered (c, now, 7);
+		break;
+	default:
+		cs_crash_counts_add (c, now, 7, "4", 1);
+	}
+}
+
+static void
+test_trials (void **state)
+{
+	static const step_t ends[] = {{10, BREAKS, 1, 1}, {20, BREAKS, 2, 1}, {30, BREAKS, 3, 1},
+				      {640, ENDED, 1, 1}, {650, ENDED, 2, 1}, {660, ENDED, 3, 1}};
+	(void)state;
+	for (size_t i = 0; i < CS_ARRAY_LEN (trials); i++) {
+		cs_crash_counts_t c;
+		known_t known = {0};
+		int64_t now = 700;
+		cs_buf_t told = {0};
+		print_message ("%s\n", trials[i].name);
+		cs_crash_counts_init (&c, &evidence, &known);
+		for (size_t k = 0; k < CS_ARRAY_LEN (ends); k++)
+			take_step (&c, &known, &ends[k]);
+		collect (&c, now, &told);
+		assert_true (cs_str_is (cs_buf_str (&told), "c"));
+		for (const char *s = trials[i].steps; *s; s++)
+			take_trial_step (&c, now++, *s);
+		cs_buf_clear (&told);
+		collect (&c, now, &told);
+		assert_true (cs_str_is (cs_buf_str (&told), trials[i].tells));
+		cs_crash_counts_finish (&c);
+		cs_buf_finish (&told);
+	}
+}
+
 static void
 test_bounded (void **state)
 {
@@ -248,6 +320,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test (test_contents),
+		cmocka_unit_test (test_trials),
 		cmocka_unit_test (test_bounded),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
--- a/packages/forward/src/crashes.c
+++ b/packages/forward/src/crashes.c
@@ -59,6 +59,14 @@
 	cs_crash_counts_answered (&c->forward->crashes, cs_now_ms (), c->content);
 }
 
+void
+cs_crashes_record_send (const cs_call_t *c)
+{
+	if (cs_crash_counts_sent (&c->forward->crashes, c->content))
+		cs_log_event ("forward", "content_tried", "id=%.*s content=%016" PRIx64,
+			      CS_STR_ARG (cs_call_id (c)), c->content);
+}
+
 bool
 cs_crashes_is_refused (const cs_call_t *c, uint32_t *retry_after_ms)
 {
--- a/packages/forward/src/dispatch.c
+++ b/packages/forward/src/dispatch.c
@@ -107,7 +107,9 @@
 {
 	if (status == CS_OK)
 		status = cs_backend_request_start (c, chosen->name, service);
-	if (status != CS_OK)
+	if (status == CS_OK)
+		cs_crashes_record_send (c);
+	else
 		queue_or_refuse (c, status, service);
 }
 
--- a/packages/forward/src/forward.h
+++ b/packages/forward/src/forward.h
@@ -279,6 +279,7 @@
 void cs_crashes_record_break (const cs_backend_request_t *s);
 /* Records that a back end answered the request. */
 void cs_crashes_record_answer (const cs_call_t *c);
+void cs_crashes_record_send (const cs_call_t *c);
 bool cs_crashes_is_refused (const cs_call_t *c, uint32_t *retry_after_ms);
 /* Tells other daemons what this one has found; called at each tick. */
 void cs_crashes_tick (cs_forward_t *f, int64_t now_ms);
--- a/packages/forward/src/notes.c
+++ b/packages/forward/src/notes.c
@@ -229,9 +229,11 @@
 }
 
 static void
-apply_verdict (cs_forward_t *f, const Cs__ContentVerdict *v)
+apply_verdict (cs_forward_t *f, const Cs__Note *note)
 {
-	cs_crash_counts_hear (&f->crashes, cs_now_ms (), v->content, (cs_crash_verdict_t)v->kind);
+	const Cs__ContentVerdict *v = note->verdict;
+	cs_crash_counts_hear (&f->crashes, cs_now_ms (), v->content, (cs_crash_verdict_t)v->kind,
+			      !strcmp (note->from, f->host->name));
 }
 
 void
@@ -249,6 +251,6 @@
 	else if (note->body_case == CS__NOTE__BODY_BROKEN)
 		apply_broken (f, note->broken);
 	else if (note->body_case == CS__NOTE__BODY_VERDICT)
-		apply_verdict (f, note->verdict);
+		apply_verdict (f, note);
 	cs__note__free_unpacked (note, NULL);
 }
--- a/tests/e2e/e2e.sh
+++ b/tests/e2e/e2e.sh
@@ -13,6 +13,7 @@
 . "$(dirname "${BASH_SOURCE[0]}")/../../tools/cluster.sh"
 
 failures=0
+failed_checks=
 
 # check WHAT COMMAND...: the command must succeed.
 check() {
@@ -23,6 +24,7 @@
 	else
 		echo "FAILED  $what"
 		failures=$((failures + 1))
+		failed_checks="$failed_checks$what; "
 		return 1
 	fi
 }
@@ -48,6 +50,7 @@
 		done
 	fi
 	cluster_stop
+	[ $failures = 0 ] || echo "$failures checks failed: $failed_checks"
 	[ $failures = 0 ]
 	exit
 }
