crash counts: a daemon that knows a content to work objects to a store that keeps it refused

All daemons took that over, also the two that had an answer.

A daemon that had an answer to the content, or was told of one, within the last minute says so when it reads that it is kept. decide/test_crash_counts fails on the code before in the two new trials. Left: all daemons that knew of the answer have restarted meanwhile.

--- a/packages/decide/src/crash_counts.c
+++ b/packages/decide/src/crash_counts.c
@@ -204,6 +204,7 @@
 	if (own && (!x || !x->is_condemned || !x->told))
 		return; /* of an earlier process */
 	if (verdict == CS_CRASH_WORKS) {
+		*answer_slot (c, content) = (cs_crash_answer_t){content, now_ms};
 		if (x)
 			remove_content (c, x);
 		return;
@@ -237,6 +238,10 @@
 cs_crash_counts_refuse (cs_crash_counts_t *c, int64_t now_ms, uint64_t content, int64_t until_ms)
 {
 	cs_crash_content_t *x = find_or_add_content (c, content);
+	if (has_answer (c, now_ms, content)) {
+		x->owes_objection = true; /* a store that went back keeps it again */
+		return;
+	}
 	if (until_ms > now_ms + CS_CRASH_REFUSED_MS)
 		until_ms = now_ms + CS_CRASH_REFUSED_MS;
 	if (until_ms > x->refused_until_ms)
--- a/packages/decide/tests/test_crash_counts.c
+++ b/packages/decide/tests/test_crash_counts.c
@@ -230,8 +230,9 @@
  * are read, and requests are sent and end. */
 static const struct {
 	const char *name;
-	const char *steps; /* o, c: its own verdict or another one's; r: a request, refused if it is
-			      in capitals; a: it is answered; b: it breaks */
+	const char *steps; /* o, c, w: its own verdict, another one's, one that clears it; k: the
+			      store keeps it; r: a request, refused if it is in capitals; a: it is
+			      answered; b: it breaks */
 	const char *tells; /* in the end */
 } trials[] = {
 	{"no verdict read yet", "R", ""},
@@ -242,6 +243,8 @@
 	{"the request that tries is answered", "orar", "w"},
 	{"a request is answered that was sent before", "cRar", "w"},
 	{"condemned once more after a trial that broke", "orbcR", ""},
+	{"kept by a store that went back, answered before", "akr", "w"},
+	{"kept by a store that went back, answered another daemon before", "wkr", "w"},
 };
 
 static bool
@@ -258,6 +261,12 @@
 	case 'c':
 		cs_crash_counts_hear (c, now, 7, CS_CRASH_CONDEMNED, step == 'o');
 		break;
+	case 'w':
+		cs_crash_counts_hear (c, now, 7, CS_CRASH_WORKS, false);
+		break;
+	case 'k':
+		cs_crash_counts_refuse (c, now, 7, now + CS_CRASH_REFUSED_MS);
+		break;
 	case 'r':
 	case 'R':
 		assert_int_equal (is_refused (c, now), step == 'R');
