forward: overload control, a rate at which a daemon sends to back ends that let requests wait

All requests wait at back ends, and are late.

What is beyond the rate waits in the daemon's queue or is refused. A back end's load counts from the head of a stream on, not from its end.

--- a/packages/decide/include/cs/router.h
+++ b/packages/decide/include/cs/router.h
@@ -160,6 +160,8 @@
 void cs_router_update_ejections (cs_router_t *r, int64_t now_ms);
 bool cs_router_is_ejected (const cs_router_t *r, int64_t now_ms, const char *name);
 uint32_t cs_router_in_flight (const cs_router_t *r, const char *name);
+/* Requests that the target runs at once; 0: unknown. */
+uint32_t cs_router_max_concurrent (const cs_router_t *r, const char *name);
 const char *cs_route_policy_name (cs_route_policy_t policy);
 
 #endif
--- a/packages/decide/src/router_target.c
+++ b/packages/decide/src/router_target.c
@@ -250,6 +250,13 @@
 	return t ? t->in_flight : 0;
 }
 
+uint32_t
+cs_router_max_concurrent (const cs_router_t *r, const char *name)
+{
+	const cs_target_t *t = cs_target_find (r, name);
+	return t ? t->max_concurrent : 0;
+}
+
 bool
 cs_router_is_ejected (const cs_router_t *r, int64_t now_ms, const char *name)
 {
--- a/packages/forward/src/attempt_end.c
+++ b/packages/forward/src/attempt_end.c
@@ -50,7 +50,6 @@
 {
 	cs_forward_t *f = s->call->forward;
 	int64_t now = cs_now_ms ();
-	uint32_t running, waiting;
 	bool answered = a->end == CS_ATTEMPT_ANSWERED;
 	cs_route_result_t result = {.ok = s->is_blameless || (answered && a->status < 500)};
 	if (s->first_us)
@@ -68,9 +67,6 @@
 		cs_crashes_record_break (s);
 	if (a->end == CS_ATTEMPT_SILENT && !s->first_us)
 		cs_answer_timeout_record_timeout (&f->answer_timeout, now, s->service);
-	if (f->host->adapter->decode_load (cs_headers_find (&s->answer_headers, f->names->load),
-					   &running, &waiting))
-		cs_router_record_load (&f->router, s->backend_id, now, running, waiting);
 }
 
 /* Charges the retry budget and sets delay_ms. False if the budget is used up or too little time
@@ -167,7 +163,7 @@
 	int64_t delay_ms = s->retry_delay_ms;
 	uint32_t retry_after_ms;
 	record_result (s, a);
-	cs_queue_record_attempt_end (c->forward, s->service);
+	cs_queue_record_attempt_end (s);
 	cs_counts_attempt_ended (a);
 	if (!c->abandoned && !c->ended) {
 		c->runs += cs_outcome_run (a) != CS_RUN_NO;
--- a/packages/forward/src/backend_request.c
+++ b/packages/forward/src/backend_request.c
@@ -241,12 +241,26 @@
 	stop_at_head (s);
 }
 
+/* A stream's load is that at its head, not at its end. */
+static void
+record_load (const cs_backend_request_t *s)
+{
+	cs_forward_t *f = s->call->forward;
+	uint32_t running, waiting;
+	if (!f->host->adapter->decode_load (cs_headers_find (&s->answer_headers, f->names->load),
+					    &running, &waiting))
+		return;
+	cs_router_record_load (&f->router, s->backend_id, cs_now_ms (), running, waiting);
+	cs_queue_record_load (s, waiting);
+}
+
 static void
 on_head (cs_http_call_t *http, int status, cs_str_t content_type)
 {
 	cs_backend_request_t *s = http->data;
 	s->status = status;
 	cs_said_in_head (s);
+	record_load (s);
 	s->is_stream = s->call->route->kind == CS_KIND_STREAM && status == 200 &&
 		       cs_str_starts_nocase (content_type, "text/event-stream");
 	const cs_attempt_t answered = result_of (s, CS_ATTEMPT_ANSWERED);
--- a/packages/forward/src/dispatch.c
+++ b/packages/forward/src/dispatch.c
@@ -42,7 +42,11 @@
 			      .suspects = suspects};
 	q.n_suspects =
 		cs_suspects_list (&c->forward->suspects, cs_now_ms (), suspects, MAX_SUSPECTS);
-	return pick_by_query (c, &q, out);
+	cs_status_t status = pick_by_query (c, &q, out);
+	if (status == CS_OK && !c->tries &&
+	    !cs_queue_may_send (c->forward, service, c->queue != NULL))
+		return CS_EXHAUSTED;
+	return status;
 }
 
 bool
@@ -107,10 +111,12 @@
 {
 	if (status == CS_OK)
 		status = cs_backend_request_start (c, chosen->name, service);
-	if (status == CS_OK)
+	if (status == CS_OK) {
+		cs_queue_record_send (c->forward, service);
 		cs_crashes_record_send (c);
-	else
+	} else {
 		queue_or_refuse (c, status, service);
+	}
 }
 
 /* Refuses a request whose content crashes the back ends that run it. */
@@ -155,6 +161,8 @@
 	cs_str_t model = cs_headers_find (&c->headers, f->names->model);
 	cs_targets_service_name (&service, c->service,
 				 declared && declared->n_models ? model : cs_str (""));
+	if (!c->tries)
+		cs_queue_record_arrival (f, service.p);
 	cs_status_t status = pick (c, service.p, &chosen);
 	send_or_refuse (c, status, service.p, &chosen);
 	cs_buf_finish (&service);
--- a/packages/forward/src/forward.h
+++ b/packages/forward/src/forward.h
@@ -220,8 +220,15 @@
  * caller may retry. */
 bool cs_queue_add (cs_call_t *c, const char *service, int64_t *retry_after_ms);
 void cs_queue_remove (cs_call_t *c);
+/* True if overload control lets a request be sent to the service now; one that is not queued waits
+ * behind those that are. */
+bool cs_queue_may_send (cs_forward_t *f, const char *service, bool is_queued);
+void cs_queue_record_arrival (cs_forward_t *f, const char *service);
+void cs_queue_record_send (cs_forward_t *f, const char *service);
+/* Records that `waiting` requests wait at the back end of the attempt. */
+void cs_queue_record_load (const cs_backend_request_t *s, uint32_t waiting);
 /* Records the end of an attempt, from which the expected wait is estimated. */
-void cs_queue_record_attempt_end (cs_forward_t *f, const char *service);
+void cs_queue_record_attempt_end (const cs_backend_request_t *s);
 /* said.c: what back ends say of themselves in their answers. */
 void cs_said_leaving (cs_forward_t *f, const char *id, uint64_t born);
 void cs_said_turned_away (cs_forward_t *f, const char *id, uint64_t born, int64_t until_ms);
--- a/packages/forward/src/queue.c
+++ b/packages/forward/src/queue.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "cs/log.h"
+#include "cs/send_rate.h"
 #include "forward.h"
 
 enum {
@@ -21,6 +23,7 @@
 struct cs_wait_queue {
 	char *service;
 	cs_admission_t admission;
+	cs_send_rate_t rate;
 	UT_hash_handle hh;
 };
 
@@ -81,11 +84,48 @@
 	c->queue = NULL;
 }
 
-void
-cs_queue_record_attempt_end (cs_forward_t *f, const char *service)
+bool
+cs_queue_may_send (cs_forward_t *f, const char *service, bool is_queued)
 {
 	cs_wait_queue_t *q = find_queue (f, service);
+	if (!is_queued && q->rate.limit != 0 && q->admission.queued)
+		return false;
+	return cs_send_rate_allows (&q->rate, cs_now_ms ());
+}
+
+void
+cs_queue_record_arrival (cs_forward_t *f, const char *service)
+{
+	cs_send_rate_arrived (&find_queue (f, service)->rate, cs_now_ms ());
+}
+
+void
+cs_queue_record_send (cs_forward_t *f, const char *service)
+{
+	cs_send_rate_sent (&find_queue (f, service)->rate);
+}
+
+void
+cs_queue_record_load (const cs_backend_request_t *s, uint32_t waiting)
+{
+	cs_forward_t *f = s->call->forward;
+	cs_send_rate_t *r = &find_queue (f, s->service)->rate;
+	uint32_t slots = cs_router_max_concurrent (&f->router, s->backend_id);
+	if (cs_send_rate_answered (r, cs_now_ms (), waiting, slots, s->call->route->target_ms))
+		cs_log_event ("forward", "send_limit",
+			      "service=%s limit_per_s=%.2f arrivals_per_s=%.2f back_end=%s "
+			      "waiting=%u slots=%u run_ms=%.0f",
+			      s->service, r->limit, r->arrivals, s->backend_id, waiting, slots,
+			      r->duration_ms);
+}
+
+void
+cs_queue_record_attempt_end (const cs_backend_request_t *s)
+{
+	cs_wait_queue_t *q = find_queue (s->call->forward, s->service);
 	cs_admission_record_end (&q->admission, cs_now_ms ());
+	if (s->first_us)
+		cs_send_rate_ended (&q->rate, (cs_now_us () - s->sent_us) / 1000);
 }
 
 /* Dispatches queued requests in order while back ends have free slots. */
