platform: daemons with narrow links offer to read for others only when nobody else does

decide/reader_candidate: a daemon whose Limits give its link 100 Mbit/s or more joins the group at once; another one when the store has listed no reader for half a second, at times that differ. Fewer joins, too: a daemon that doesn't offer itself makes none.

--- /dev/null
+++ b/packages/decide/include/cs/reader_candidate.h
@@ -0,0 +1,31 @@
+/* Which daemons offer to read the store for all others and to plan the groups.
+ *
+ * Load: a reader passes each change of each back end on to its share of the daemons, some 100 KB/s
+ * a daemon at 900 back ends. A daemon with a narrow link that reads for 60 others fills it: it is
+ * late for all of them, and they turn to the store, all at once. So daemons with wide links offer
+ * themselves at once, and those with narrow ones only when nobody else does. They look at times
+ * that differ, so that a few of them offer themselves.
+ *
+ * Who reads is decided by the store among those that offer themselves. None, or too many, do no
+ * harm: a daemon without a reader reads the store itself.
+ *
+ * All times are in milliseconds of the caller's monotonic clock. */
+#ifndef CS_READER_CANDIDATE_H
+#define CS_READER_CANDIDATE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+typedef struct {
+	bool is_candidate;
+	int64_t none_since_ms; /* since when no reader has been seen; 0: one has, or never looked */
+	uint32_t spread;
+} cs_reader_candidate_t;
+
+/* link_mbps: of this daemon's machine; 0: unknown. spread: a hash of the daemon's name. */
+void cs_reader_candidate_init (cs_reader_candidate_t *c, double link_mbps, uint64_t spread);
+/* Records that the store listed n_readers. Returns the time after which to look again, as long as
+ * this daemon has no reader; 0: as usual. */
+int64_t cs_reader_candidate_looked (cs_reader_candidate_t *c, int64_t now_ms, uint32_t n_readers);
+
+#endif
--- a/packages/host/include/cs/host.h
+++ b/packages/host/include/cs/host.h
@@ -81,6 +81,7 @@
 	uint32_t grace_ms;     /* from SIGTERM to SIGKILL */
 	uint32_t lease_min_ms; /* shortest lease that the store grants */
 	uint32_t record_bytes; /* longest record that the store takes */
+	double link_mbps;      /* of this machine; 0: unknown */
 	double retry_ratio;    /* retries to first attempts of a service, all daemons */
 	uint32_t max_connections;
 	bool first_start; /* the whole system starts for the first time */
