reader candidates: narrow links wait for 1.6 s, longer than members need to join again

Behind an outage of the store the leases have lapsed and no reader is listed until a member joins again, which takes up to 1.5 s. Narrow daemons that offered themselves in that time would stay readers.

--- a/packages/decide/src/reader_candidate.c
+++ b/packages/decide/src/reader_candidate.c
@@ -2,7 +2,8 @@
 
 enum {
 	MIN_LINK_MBPS = 100,
-	MIN_NONE_MS = 500, /* a daemon that has just started to offer itself is listed by then */
+	/* Longer than the time between two joins of a member: none is listed behind an outage. */
+	MIN_NONE_MS = 1600,
 	SPREAD_MS = 1500
 };
 
--- a/packages/decide/tests/test_reader_candidate.c
+++ b/packages/decide/tests/test_reader_candidate.c
@@ -6,11 +6,11 @@
 
 enum {
 	MAX_DAEMONS = 1000,
-	LEASE_MS = 4500,
 	LOOK_MS = 1200,  /* the first look */
 	USUAL_MS = 3000, /* between two looks without a reader */
 	STEP_MS = 10,
-	LOST_MS = 10000 /* when the wide ones are lost */
+	LOST_MS = 10000,  /* when the wide ones are lost */
+	GOOD_MS = 1000000 /* for good */
 };
 
 /* Of the narrow ones at most a third may offer themselves. */
@@ -18,17 +18,18 @@
 	const char *name;
 	int wide, narrow;
 	double link_mbps; /* of the narrow ones; 0: unknown */
-	bool lose_wide;
+	int64_t none_ms;  /* for which the wide ones are not listed from LOST_MS on */
 	int least_candidates, most_candidates;
 } cases[] = {
-	{"small, all wide", 13, 0, 20, false, 0, 0},
-	{"a few wide ones", 15, 180, 20, false, 0, 0},
-	{"one wide one", 1, 999, 20, false, 0, 0},
-	{"the wide ones are lost", 15, 180, 20, true, 1, 60},
-	{"the wide ones of many are lost", 15, 985, 20, true, 1, 328},
-	{"all narrow", 0, 130, 14, false, 1, 43},
-	{"a single one, narrow", 0, 1, 14, false, 1, 1},
-	{"links unknown", 0, 20, 0, false, 20, 20},
+	{"small, all wide", 13, 0, 20, 0, 0, 0},
+	{"a few wide ones", 15, 180, 20, 0, 0, 0},
+	{"one wide one", 1, 999, 20, 0, 0, 0},
+	{"behind an outage of the store", 6, 124, 14, 1500, 0, 0},
+	{"the wide ones are lost", 15, 180, 20, GOOD_MS, 1, 60},
+	{"the wide ones of many are lost", 15, 985, 20, GOOD_MS, 1, 328},
+	{"all narrow", 0, 130, 14, 0, 1, 43},
+	{"a single one, narrow", 0, 1, 14, 0, 1, 1},
+	{"links unknown", 0, 20, 0, 0, 20, 20},
 };
 
 static void
@@ -48,7 +49,7 @@
 			look_ms[d] = LOOK_MS;
 		}
 		for (int64_t now = STEP_MS; now < 2 * LOST_MS; now += STEP_MS) {
-			bool lost = cases[i].lose_wide && now >= LOST_MS + LEASE_MS;
+			bool lost = now >= LOST_MS && now < LOST_MS + cases[i].none_ms;
 			uint32_t listed = lost ? 0 : (uint32_t)cases[i].wide;
 			for (int d = cases[i].wide; d < n; d++)
 				listed += daemons[d].is_candidate;
