crash counts: a content read as suspected is condemned by what ends

What is kept counted as told, and a time of refusal as a verdict: the content was never condemned, thus never tried, and all daemons refused it for the 20 s that a suspicion is kept. A content that crashes back ends was free again after a minute.

Condemned is what has as many ends confirmed and is not condemned yet; that is told. The new row of decide/test_crash_counts fails on the code before.

--- a/packages/decide/src/crash_counts.c
+++ b/packages/decide/src/crash_counts.c
@@ -143,8 +143,10 @@
 		if (now_ms - x->breaks[i].at_ms > CS_CRASH_WINDOW_MS)
 			drop_break (x, i);
 	}
-	if (!x->refused_until_ms && count (c, now_ms, x, true) >= CS_CRASH_LIMIT)
+	if (!x->is_condemned && count (c, now_ms, x, true) >= CS_CRASH_LIMIT) {
 		condemn (x, now_ms);
+		x->told = false; /* that it was suspected is all that the store may have kept */
+	}
 	if (!x->n && now_ms >= x->refused_until_ms && !x->owes_objection)
 		remove_content (c, x);
 }
--- a/packages/decide/tests/test_crash_counts.c
+++ b/packages/decide/tests/test_crash_counts.c
@@ -17,7 +17,8 @@
 		ENDED,
 		ANSWERS_OTHER,
 		ANSWERED,
-		HEARS
+		HEARS,
+		KEPT /* the store keeps it as suspected */
 	} what;
 	int back_end; /* HEARS: the verdict */
 	uint64_t born;
@@ -50,6 +51,17 @@
 	 true,
 	 true,
 	 "c"},
+	{"three ended, and it was read that it is suspected",
+	 {{10, BREAKS, 1, 1},
+	  {20, BREAKS, 2, 1},
+	  {30, BREAKS, 3, 1},
+	  {40, KEPT, 0, 0},
+	  {640, ENDED, 1, 1},
+	  {650, ENDED, 2, 1},
+	  {660, ENDED, 3, 1}},
+	 true,
+	 true,
+	 "c"},
 	{"three connections broke, one back end answers others",
 	 {{10, BREAKS, 1, 1}, {20, BREAKS, 2, 1}, {30, BREAKS, 3, 1}, {40, ANSWERS_OTHER, 2, 1}},
 	 false,
@@ -168,6 +180,9 @@
 	case ANSWERED:
 		cs_crash_counts_answered (c, s->at_ms, 7);
 		break;
+	case KEPT:
+		cs_crash_counts_refuse (c, s->at_ms, 7, s->at_ms + CS_CRASH_SUSPECTED_MS);
+		break;
 	case HEARS:
 		cs_crash_counts_hear (c, s->at_ms, 7, (cs_crash_verdict_t)s->back_end, false);
 		break;
--- a/packages/decide/tests/test_reader_candidate.c
+++ b/packages/decide/tests/test_reader_candidate.c
@@ -48,7 +48,7 @@
 			cs_reader_candidate_init (&daemons[d], mbps, cs_rng_below (&rng, 1 << 30));
 			look_ms[d] = LOOK_MS;
 		}
-		for (int64_t now = STEP_MS; now < 2 * LOST_MS; now += STEP_MS) {
+		for (int64_t now = STEP_MS; now < INT64_C (2) * LOST_MS; now += STEP_MS) {
 			bool lost = now >= LOST_MS && now < LOST_MS + cases[i].none_ms;
 			uint32_t listed = lost ? 0 : (uint32_t)cases[i].wide;
 			for (int d = cases[i].wide; d < n; d++)
--- a/packages/decide/tests/test_send_rate.c
+++ b/packages/decide/tests/test_send_rate.c
@@ -127,14 +127,16 @@
 {
 	memset (&w, 0, sizeof w);
 	cs_rng_init (&w.rng, 1);
-	for (int64_t now = STEP_MS; now < 3 * PART_MS + END_MS; now += STEP_MS) {
-		double n = now < 3 * PART_MS ? l->per_s * STEP_MS / 1000. : 0;
-		for (double at = -log (uniform ()); at < n; at -= log (uniform ())) {
+	for (int64_t now = STEP_MS; now < INT64_C (3) * PART_MS + END_MS; now += STEP_MS) {
+		double n = now < INT64_C (3) * PART_MS ? l->per_s * STEP_MS / 1000. : 0;
+		double at = -log (uniform ());
+		while (at < n) {
 			request_t *q = &w.requests[w.n++];
 			q->daemon = cs_rng_below (&w.rng, l->daemons);
 			q->arrived_ms = now;
 			w.asked[now / PART_MS]++;
 			cs_send_rate_arrived (&w.rates[q->daemon], now);
+			at -= log (uniform ());
 		}
 		for (size_t i = w.first; i < w.n; i++)
 			if (w.requests[i].arrived_ms >= 0)
