--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -1,6 +1,7 @@
 # cs_package (NAME DEPS...): a static library from src/*.c (and *.cc) with the
 # public headers of include/, and one cmocka program for each tests/test_*.c and
-# tests/invariant_*.c, with the library of tests/support_*.c, run with the arguments of the variable PROGRAM_arguments, if set.
+# tests/invariant_*.c, linked with a library of tests/support_*.c and run with the arguments of
+# the variable PROGRAM_arguments, if set.
 # A package without sources becomes an interface library.
 #
 # tests/without.txt lists "PROGRAM MECHANISM" pairs: the program must fail when the
