forward: lines about broken connections name the parts of prompts

Lines named a hash of the content alone, so that ends of back ends under one part of prompts that are never alike could not be joined. Now with the parts but for the last, the time since the request was sent and since its first event.

--- a/packages/forward/src/crashes.c
+++ b/packages/forward/src/crashes.c
@@ -40,16 +40,31 @@
 	cs_crash_counts_init (&f->crashes, &evidence, f);
 }
 
+/* Lists ids as in the header that names the parts. */
+static void
+format_parts (const cs_call_t *c, cs_buf_t *out)
+{
+	for (size_t i = 0; i < c->n_parts; i++)
+		cs_buf_printf (out, "%s%" PRIx64, i ? "," : "", c->parts[i]);
+}
+
 void
 cs_crashes_record_break (const cs_backend_request_t *s)
 {
 	cs_forward_t *f = s->call->forward;
+	cs_buf_t parts = {0};
 	if (!cs_crash_counts_add (&f->crashes, cs_now_ms (), s->call->content, s->backend_id,
 				  s->born))
 		return;
+	format_parts (s->call, &parts);
 	cs_log_event ("forward", "broke_under_content",
-		      "id=%.*s back_end=%s born=%" PRIu64 " content=%016" PRIx64,
-		      CS_STR_ARG (cs_call_id (s->call)), s->backend_id, s->born, s->call->content);
+		      "id=%.*s back_end=%s born=%" PRIu64 " content=%016" PRIx64
+		      " parts=%s sent_ms=%lld first_event_ms=%lld events=%u",
+		      CS_STR_ARG (cs_call_id (s->call)), s->backend_id, s->born, s->call->content,
+		      parts.n ? parts.p : "-", (long long)((cs_now_us () - s->sent_us) / 1000),
+		      s->first_us ? (long long)((cs_now_us () - s->first_us) / 1000) : -1,
+		      s->events);
+	cs_buf_finish (&parts);
 	cs_notes_add_break (f, s->backend_id, s->born, s->call->content);
 }
 
--- a/packages/forward/src/forward.h
+++ b/packages/forward/src/forward.h
@@ -162,7 +162,9 @@
 	const cs_team_t *team; /* NULL if there is none, as on a public route */
 	char *service;
 	uint64_t content; /* hash of team, path and body: equal if the caller asks again */
-	uint32_t runs;    /* attempts that ran or may have run */
+	uint64_t *parts;  /* ids of the parts of its prompt that others may have */
+	size_t n_parts;
+	uint32_t runs; /* attempts that ran or may have run */
 	uint32_t tries;
 	char *tried[CS_OUTCOME_MAX_TRIES];
 	cs_backend_request_t *backend_request; /* attempt in progress; NULL: none */
--- a/packages/forward/tests/support_relay.c
+++ b/packages/forward/tests/support_relay.c
@@ -27,6 +27,7 @@
 	.fault_at = "X-Fault-At",
 	.leaving = "X-Leaving",
 	.retry_after = "Retry-After",
+	.prompt = "X-Prompt",
 };
 
 static bool
@@ -47,6 +48,14 @@
 	return false;
 }
 
+static size_t
+decode_prompt (cs_str_t value, uint64_t *parts)
+{
+	(void)value;
+	(void)parts;
+	return 0;
+}
+
 static const cs_adapter_t adapter = {
 	.headers = &names,
 	.order_path = "/order",
@@ -54,6 +63,7 @@
 	.ready_path = "/ready",
 	.decode_load = decode_load,
 	.decode_retry_after = decode_retry_after,
+	.decode_prompt = decode_prompt,
 };
 
 static cs_status_t
--- a/packages/host/include/cs/host.h
+++ b/packages/host/include/cs/host.h
@@ -44,8 +44,13 @@
 	const char *fault_at;      /* back end that prevents a group from working */
 	const char *leaving;       /* the back end that answers leaves */
 	const char *retry_after;   /* with 503: for how long the back end wants no requests */
+	const char *prompt;        /* the parts of the request's prompt */
 } cs_header_names_t;
 
+enum {
+	CS_PROMPT_MAX_PARTS = 32 /* of one prompt; one with more is treated as one without parts */
+};
+
 /* Content of a back end's response to a report request. */
 typedef struct {
 	char group[128];
@@ -66,6 +71,9 @@
 	bool (*decode_load) (cs_str_t value, uint32_t *running, uint32_t *waiting);
 	/* Parses the time in a retry_after header; false if malformed. */
 	bool (*decode_retry_after) (cs_str_t value, uint32_t *ms);
+	/* Parses the ids of a prompt's parts but for the last one, which no other prompt has.
+	 * Returns their number, at most CS_PROMPT_MAX_PARTS; 0 if the header is malformed. */
+	size_t (*decode_prompt) (cs_str_t value, uint64_t *parts);
 } cs_adapter_t;
 
 typedef struct {
