--- a/packages/decide/src/crash_counts.c
+++ b/packages/decide/src/crash_counts.c
@@ -1,275 +1,570 @@
 #include "cs/crash_counts.h"
 
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
-#include <uthash.h>
 
-#include "cs/str.h"
+#include "crash_impl.h"
 
 enum {
-	MAX_BREAKS = 8,     /* of one content; the limit is reached with fewer */
-	MIN_LISTED_MS = 500 /* a new back end is listed here within this time */
+	MIN_LISTED_MS = 500,    /* a new back end is listed here within this time */
+	ANSWER_GUARD_MS = 2000, /* what was answered so recently is not blamed for a break */
+	TRY_MS = 2000,          /* from the claim; the request that tries is sent within it */
+	TRY_AGAIN_MS = 15000
 };
 
-typedef struct {
-	char *back_end;
-	uint64_t born;
-	int64_t at_ms;
-	bool confirmed;
-} break_t;
-
-struct cs_crash_content {
-	uint64_t content;
-	break_t breaks[MAX_BREAKS];
-	size_t n;
-	int64_t refused_until_ms; /* 0: only while enough breaks count */
-	bool is_condemned;
-	bool asked; /* the others know that it is suspected */
-	bool told;  /* the others know that it is condemned */
-	bool kept;
-	bool owes_objection; /* another daemon suspects it, and this one has had an answer */
-	bool has_first;      /* a verdict was read; the first one chooses who tries once more */
-	bool may_try;        /* one more request of it may be sent */
-	UT_hash_handle hh;
-};
+static void
+drop_end (cs_ref_t *ref)
+{
+	cs_crash_end_t *end = (cs_crash_end_t *)ref;
+	free (end->back_end);
+	free (end);
+}
 
 void
 cs_crash_counts_init (cs_crash_counts_t *c, const cs_crash_evidence_ops_t *evidence, void *data)
 {
 	*c = (cs_crash_counts_t){.evidence = evidence, .data = data};
 	c->answers = cs_alloc (CS_CRASH_ANSWERS * sizeof *c->answers);
+	c->ends = cs_alloc (CS_CRASH_MAX_ENDS * sizeof (cs_crash_end_t *));
 }
 
 static void
-drop_break (cs_crash_content_t *x, size_t i)
+drop_break (cs_crash_cause_t *x, size_t i)
 {
-	free (x->breaks[i].back_end);
-	x->breaks[i] = x->breaks[--x->n];
+	cs_ref_put (&x->breaks[i].end->ref);
+	x->n--;
+	memmove (x->breaks + i, x->breaks + i + 1, (x->n - i) * sizeof *x->breaks);
 }
 
 static void
-remove_content (cs_crash_counts_t *c, cs_crash_content_t *x)
+remove_cause (cs_crash_counts_t *c, cs_crash_cause_t *x)
 {
-	HASH_DEL (c->contents, x);
+	cs_crash_acquit (c, x);
+	HASH_DEL (c->causes, x);
 	while (x->n)
-		drop_break (x, 0);
+		drop_break (x, x->n - 1);
 	free (x);
 }
 
+static void
+remove_oldest_end (cs_crash_counts_t *c)
+{
+	cs_ref_put (&c->ends[0]->ref);
+	memmove (c->ends, c->ends + 1, --c->n_ends * sizeof (cs_crash_end_t *));
+}
+
 void
 cs_crash_counts_finish (cs_crash_counts_t *c)
 {
-	cs_crash_content_t *x, *next;
-	HASH_ITER (hh, c->contents, x, next) {
-		remove_content (c, x);
+	cs_crash_cause_t *x, *next;
+	HASH_ITER (hh, c->causes, x, next) {
+		remove_cause (c, x);
 	}
+	while (c->n_ends)
+		remove_oldest_end (c);
+	free (c->ends);
 	free (c->answers);
 }
 
-static cs_crash_content_t *
-find_content (const cs_crash_counts_t *c, uint64_t content)
+static cs_crash_cause_t *
+find_cause (const cs_crash_counts_t *c, cs_crash_key_t key)
 {
-	cs_crash_content_t *x;
-	HASH_FIND (hh, c->contents, &content, sizeof content, x);
+	cs_crash_cause_t *x;
+	HASH_FIND (hh, c->causes, &key, sizeof key, x);
 	return x;
 }
 
-static cs_crash_content_t *
-find_or_add_content (cs_crash_counts_t *c, uint64_t content)
+static bool
+has_verdict (const cs_crash_cause_t *x, int64_t now_ms)
+{
+	return x->judgement || x->asked || x->told || x->owes_objection ||
+	       now_ms < x->refused_until_ms;
+}
+
+/* Forgets the oldest cause without a verdict; a new verdict may displace an old one, a break may
+ * not. False if there is nothing to forget. */
+static bool
+make_room (cs_crash_counts_t *c, int64_t now_ms, bool is_verdict)
 {
-	cs_crash_content_t *x = find_content (c, content);
-	if (x)
+	cs_crash_cause_t *x = c->causes;
+	if (HASH_COUNT (c->causes) < CS_CRASH_MAX_CAUSES)
+		return true;
+	while (x && has_verdict (x, now_ms))
+		x = x->hh.next;
+	if (!x && !is_verdict)
+		return false;
+	remove_cause (c, x ? x : c->causes);
+	return true;
+}
+
+/* NULL if there is no room. */
+static cs_crash_cause_t *
+find_or_add_cause (cs_crash_counts_t *c, int64_t now_ms, cs_crash_key_t key, bool is_verdict)
+{
+	cs_crash_cause_t *x = find_cause (c, key);
+	if (x || !make_room (c, now_ms, is_verdict))
 		return x;
-	if (HASH_COUNT (c->contents) >= CS_CRASH_MAX_CONTENTS)
-		remove_content (c, c->contents);
 	x = cs_alloc (sizeof *x);
-	x->content = content;
-	HASH_ADD (hh, c->contents, content, sizeof x->content, x);
+	x->key = key;
+	HASH_ADD (hh, c->causes, key, sizeof x->key, x);
 	return x;
 }
 
+static cs_crash_answer_t *
+answer_slot (const cs_crash_counts_t *c, cs_crash_key_t key)
+{
+	return &c->answers[(key.id ^ key.is_part) % CS_CRASH_ANSWERS];
+}
+
+static bool
+is_key (const cs_crash_answer_t *a, cs_crash_key_t key)
+{
+	return a->key.id == key.id && a->key.is_part == key.is_part;
+}
+
+/* True if a run that began then or later was answered. */
+static bool
+has_answer (const cs_crash_counts_t *c, int64_t now_ms, cs_crash_key_t key, int64_t since_ms)
+{
+	const cs_crash_answer_t *a = answer_slot (c, key);
+	return a->answered_ms && is_key (a, key) && now_ms - a->answered_ms < CS_CRASH_WINDOW_MS &&
+	       a->answered_ms >= since_ms;
+}
+
 bool
-cs_crash_counts_add (cs_crash_counts_t *c, int64_t now_ms, uint64_t content, const char *back_end,
-		     uint64_t born)
+cs_crash_counts_blame (const cs_crash_counts_t *c, int64_t now_ms, cs_crash_key_t key,
+		       bool is_early, cs_crash_blame_t *out)
+{
+	const cs_crash_answer_t *a = answer_slot (c, key);
+	*out = (cs_crash_blame_t){key, true};
+	if (!key.is_part)
+		return true;
+	if (c->disabled & CS_CRASH_NO_PARTS)
+		return false;
+	out->is_strong = is_early;
+	if (!is_key (a, key) || c->disabled & CS_CRASH_NO_ANSWERS)
+		return true;
+	int64_t began_ms = a->answered_ms > a->written_ms ? a->answered_ms : a->written_ms;
+	out->is_strong &= !has_answer (c, now_ms, key, 0);
+	return !began_ms || now_ms - began_ms >= ANSWER_GUARD_MS;
+}
+
+static cs_crash_end_t *
+find_end (const cs_crash_counts_t *c, const cs_crash_break_t *b)
+{
+	for (size_t i = c->n_ends; i--;)
+		if (c->ends[i]->born == b->born && !strcmp (c->ends[i]->back_end, b->back_end))
+			return c->ends[i];
+	return NULL;
+}
+
+static cs_crash_end_t *
+find_or_add_end (cs_crash_counts_t *c, int64_t now_ms, const cs_crash_break_t *b)
+{
+	cs_crash_end_t *end = find_end (c, b);
+	if (end) {
+		end->at_ms = b->at_ms < end->at_ms ? b->at_ms : end->at_ms;
+		return end;
+	}
+	if (c->n_ends == CS_CRASH_MAX_ENDS)
+		remove_oldest_end (c);
+	end = cs_alloc (sizeof *end);
+	cs_ref_init (&end->ref, drop_end);
+	end->back_end = cs_str_dup (cs_str (b->back_end));
+	end->born = b->born;
+	end->at_ms = b->at_ms;
+	end->seen_ms = now_ms;
+	c->ends[c->n_ends++] = end;
+	return end;
+}
+
+/* False if the break was known. */
+static bool
+add_break (cs_crash_cause_t *x, cs_crash_end_t *end, bool is_strong)
 {
-	cs_crash_content_t *x = find_or_add_content (c, content);
 	for (size_t i = 0; i < x->n; i++)
-		if (x->breaks[i].born == born && !strcmp (x->breaks[i].back_end, back_end))
+		if (x->breaks[i].end == end) {
+			x->breaks[i].is_strong |= is_strong;
 			return false;
-	if (x->n == MAX_BREAKS)
-		return false;
-	x->breaks[x->n++] = (break_t){cs_str_dup (cs_str (back_end)), born, now_ms, false};
+		}
+	if (x->n == CS_CRASH_MAX_BREAKS)
+		drop_break (x, 0);
+	x->breaks[x->n++] = (cs_crash_break_record_t){end, is_strong};
+	cs_ref_get (&end->ref);
 	return true;
 }
 
-/* True if the back end may have ended under the content. */
-static bool
-counts (const cs_crash_counts_t *c, int64_t now_ms, const break_t *b)
+bool
+cs_crash_counts_add (cs_crash_counts_t *c, int64_t now_ms, const cs_crash_break_t *b,
+		     const cs_crash_blame_t *blamed, size_t n)
 {
-	if (now_ms - b->at_ms > CS_CRASH_WINDOW_MS)
+	cs_crash_end_t *end = find_or_add_end (c, now_ms, b);
+	cs_crash_cause_t **touched = cs_alloc ((n + 1) * sizeof *touched);
+	size_t n_touched = 0;
+	bool is_new = false;
+	for (size_t i = 0; i < n; i++) {
+		cs_crash_cause_t *x = find_or_add_cause (c, now_ms, blamed[i].key, false);
+		if (!x)
+			continue;
+		/* The order of causes is that of their last break. */
+		HASH_DEL (c->causes, x);
+		HASH_ADD (hh, c->causes, key, sizeof x->key, x);
+		is_new |= add_break (x, end, blamed[i].is_strong);
+		if (x->judgement && !end->judgement)
+			end->judgement = x->judgement;
+	}
+	for (size_t i = 0; i < n; i++) {
+		cs_crash_cause_t *x = find_cause (c, blamed[i].key);
+		if (x)
+			touched[n_touched++] = x;
+	}
+	cs_crash_judge (c, now_ms, touched, n_touched);
+	free (touched);
+	return is_new;
+}
+
+bool
+cs_crash_end_counts (const cs_crash_counts_t *c, int64_t now_ms, const cs_crash_end_t *end)
+{
+	if (now_ms - end->seen_ms > CS_CRASH_WINDOW_MS)
 		return false;
-	return b->confirmed || c->evidence->answered_ms (c->data, b->back_end) <= b->at_ms;
+	return end->confirmed || c->evidence->answered_ms (c->data, end->back_end) <= end->seen_ms;
 }
 
-static size_t
-count (const cs_crash_counts_t *c, int64_t now_ms, const cs_crash_content_t *x, bool confirmed)
+/* Breaks that a part explains are no fault of a content beside it. */
+size_t
+cs_crash_count (const cs_crash_counts_t *c, int64_t now_ms, const cs_crash_cause_t *x,
+		bool confirmed)
 {
 	size_t n = 0;
-	for (size_t i = 0; i < x->n; i++)
-		n += counts (c, now_ms, &x->breaks[i]) && (x->breaks[i].confirmed || !confirmed);
+	for (size_t i = 0; i < x->n; i++) {
+		const cs_crash_end_t *end = x->breaks[i].end;
+		n += !end->judgement && cs_crash_end_counts (c, now_ms, end) &&
+		     (end->confirmed || !confirmed);
+	}
 	return n;
 }
 
 /* A break may be known before its back end is listed here. */
-static bool
-has_ended (const cs_crash_counts_t *c, int64_t now_ms, const break_t *b)
+static void
+review_end (cs_crash_counts_t *c, int64_t now_ms, cs_crash_end_t *end)
 {
-	return now_ms - b->at_ms >= MIN_LISTED_MS &&
-	       !c->evidence->is_listed (c->data, b->back_end, b->born);
+	end->confirmed |= now_ms - end->seen_ms >= MIN_LISTED_MS &&
+			  !c->evidence->is_listed (c->data, end->back_end, end->born);
 }
 
 static void
-condemn (cs_crash_content_t *x, int64_t now_ms)
+condemn (cs_crash_cause_t *x, int64_t now_ms)
 {
 	x->refused_until_ms = now_ms + CS_CRASH_REFUSED_MS;
 	x->is_condemned = true;
 }
 
+static bool
+is_guilty (const cs_crash_counts_t *c, int64_t now_ms, const cs_crash_cause_t *x)
+{
+	if (!x->key.is_part)
+		return cs_crash_count (c, now_ms, x, true) >= CS_CRASH_LIMIT;
+	return x->judgement && cs_crash_weigh (c, now_ms, x, true).moments >= CS_CRASH_LIMIT &&
+	       !cs_crash_is_tied (c, now_ms, x);
+}
+
+/* The evidence of a suspicion can go: back ends answer again. */
+static void
+review_suspicion (cs_crash_counts_t *c, int64_t now_ms, cs_crash_cause_t *x)
+{
+	if (!x->judgement || now_ms < x->refused_until_ms ||
+	    cs_crash_weigh (c, now_ms, x, false).moments >= CS_CRASH_LIMIT)
+		return;
+	cs_crash_acquit (c, x);
+	x->asked = x->wants_try = x->may_try = false;
+}
+
 static void
-review_content (cs_crash_counts_t *c, int64_t now_ms, cs_crash_content_t *x)
+review_cause (cs_crash_counts_t *c, int64_t now_ms, cs_crash_cause_t *x)
 {
-	for (size_t i = x->n; i--;) {
-		x->breaks[i].confirmed |= has_ended (c, now_ms, &x->breaks[i]);
-		if (now_ms - x->breaks[i].at_ms > CS_CRASH_WINDOW_MS)
+	for (size_t i = x->n; i--;)
+		if (now_ms - x->breaks[i].end->seen_ms > CS_CRASH_WINDOW_MS)
 			drop_break (x, i);
-	}
-	if (!x->is_condemned && count (c, now_ms, x, true) >= CS_CRASH_LIMIT) {
+	if (!x->is_condemned && is_guilty (c, now_ms, x)) {
 		condemn (x, now_ms);
 		x->told = false; /* that it was suspected is all that the store may have kept */
 	}
-	if (!x->n && now_ms >= x->refused_until_ms && !x->owes_objection)
-		remove_content (c, x);
+	review_suspicion (c, now_ms, x);
+	if (x->key.is_part && now_ms >= x->try_until_ms)
+		x->may_try = false;
+	if (!x->n && now_ms >= x->refused_until_ms && now_ms >= x->try_from_ms &&
+	    !x->owes_objection)
+		remove_cause (c, x);
 }
 
 void
 cs_crash_counts_review (cs_crash_counts_t *c, int64_t now_ms)
 {
-	cs_crash_content_t *x, *next;
-	HASH_ITER (hh, c->contents, x, next) {
-		review_content (c, now_ms, x);
+	cs_crash_cause_t *x, *next;
+	for (size_t i = 0; i < c->n_ends; i++)
+		review_end (c, now_ms, c->ends[i]);
+	HASH_ITER (hh, c->causes, x, next) {
+		review_cause (c, now_ms, x);
 	}
+	while (c->n_ends && now_ms - c->ends[0]->seen_ms > CS_CRASH_WINDOW_MS)
+		remove_oldest_end (c);
 }
 
-static cs_crash_answer_t *
-answer_slot (const cs_crash_counts_t *c, uint64_t content)
+/* Drops the breaks that an answer refutes. True if no verdict is left, or there was none. */
+static bool
+refute (cs_crash_counts_t *c, cs_crash_cause_t *x, int64_t began_ms)
 {
-	return &c->answers[content % CS_CRASH_ANSWERS];
+	for (size_t i = x->n; i--;)
+		if (x->breaks[i].end->at_ms <= began_ms)
+			drop_break (x, i);
+	if (x->n >= CS_CRASH_LIMIT || began_ms < x->since_ms)
+		return false;
+	cs_crash_acquit (c, x);
+	x->refused_until_ms = x->since_ms = 0;
+	x->is_condemned = x->wants_try = x->may_try = false;
+	x->tries = 0;
+	return true;
 }
 
-static bool
-has_answer (const cs_crash_counts_t *c, int64_t now_ms, uint64_t content)
+static void
+record_answer (cs_crash_counts_t *c, cs_crash_key_t key, int64_t began_ms)
 {
-	const cs_crash_answer_t *a = answer_slot (c, content);
-	return a->at_ms && a->content == content && now_ms - a->at_ms < CS_CRASH_WINDOW_MS;
+	cs_crash_answer_t *a = answer_slot (c, key);
+	if (!is_key (a, key))
+		*a = (cs_crash_answer_t){.key = key};
+	if (began_ms > a->answered_ms)
+		a->answered_ms = began_ms;
 }
 
 void
-cs_crash_counts_answered (cs_crash_counts_t *c, int64_t now_ms, uint64_t content)
+cs_crash_counts_written (cs_crash_counts_t *c, cs_crash_key_t key, int64_t began_ms)
 {
-	cs_crash_content_t *x = find_content (c, content);
-	*answer_slot (c, content) = (cs_crash_answer_t){content, now_ms};
-	if (!x)
-		return;
-	if (!x->asked && !x->told) {
-		remove_content (c, x);
-		return;
-	}
-	while (x->n)
-		drop_break (x, 0);
-	x->refused_until_ms = 0;
-	x->owes_objection = true;
+	cs_crash_answer_t *a = answer_slot (c, key);
+	if (!is_key (a, key))
+		*a = (cs_crash_answer_t){.key = key};
+	if (began_ms > a->written_ms)
+		a->written_ms = began_ms;
+}
+
+bool
+cs_crash_counts_answered (cs_crash_counts_t *c, int64_t now_ms, cs_crash_key_t key,
+			  int64_t began_ms)
+{
+	cs_crash_cause_t *x = find_cause (c, key);
+	record_answer (c, key, began_ms);
+	if (!x || c->disabled & CS_CRASH_NO_ANSWERS)
+		return false;
+	bool had_verdict = x->judgement || now_ms < x->refused_until_ms;
+	if (!refute (c, x, began_ms))
+		return false;
+	x->owes_objection = x->asked || x->told;
+	if (!x->owes_objection && !x->n)
+		remove_cause (c, x);
+	return had_verdict;
 }
 
 /* All daemons read the verdicts in one order. */
 static void
-choose_trier (cs_crash_content_t *x, bool own)
+choose_trier (cs_crash_cause_t *x, bool own)
 {
-	x->may_try |= own && !x->has_first;
+	x->may_try |= own && !x->has_first && !x->key.is_part;
 	x->has_first = true;
 }
 
-void
-cs_crash_counts_hear (cs_crash_counts_t *c, int64_t now_ms, uint64_t content,
-		      cs_crash_verdict_t verdict, bool own)
+static void
+hear_works (cs_crash_counts_t *c, cs_crash_cause_t *x, const cs_crash_news_t *news)
 {
-	cs_crash_content_t *x = find_content (c, content);
-	if (own && (!x || !x->is_condemned || !x->told))
-		return; /* of an earlier process */
-	if (verdict == CS_CRASH_WORKS) {
-		*answer_slot (c, content) = (cs_crash_answer_t){content, now_ms};
-		if (x)
-			remove_content (c, x);
-		return;
-	}
-	if (verdict != CS_CRASH_SUSPECTED && verdict != CS_CRASH_CONDEMNED)
+	record_answer (c, news->key, news->since_ms);
+	if (!x || !refute (c, x, news->since_ms))
 		return;
-	x = find_or_add_content (c, content);
+	x->asked = x->told = x->kept = x->owes_objection = x->has_first = false;
+	if (!x->n)
+		remove_cause (c, x);
+}
+
+static void
+hear_claim (cs_crash_counts_t *c, int64_t now_ms, cs_crash_key_t key, bool own)
+{
+	cs_crash_cause_t *x = find_or_add_cause (c, now_ms, key, true);
+	x->wants_try = false;
+	if (now_ms < x->try_until_ms)
+		return; /* another daemon's was read first */
+	x->tries++;
+	x->may_try = own;
+	x->try_until_ms = now_ms + TRY_MS;
+	x->try_from_ms = now_ms + TRY_AGAIN_MS;
+}
+
+static void
+hear_verdict (cs_crash_counts_t *c, int64_t now_ms, const cs_crash_news_t *news, bool own)
+{
+	cs_crash_cause_t *x = find_or_add_cause (c, now_ms, news->key, true);
 	x->asked = true;
-	if (has_answer (c, now_ms, content)) {
+	if (has_answer (c, now_ms, news->key, news->since_ms)) {
 		x->owes_objection = true;
-	} else if (verdict == CS_CRASH_CONDEMNED) {
-		choose_trier (x, own);
-		if (own)
-			return;
-		condemn (x, now_ms);
-		x->told = x->kept = true; /* by the one that tells it */
+		return;
 	}
+	if (news->verdict != CS_CRASH_CONDEMNED)
+		return;
+	choose_trier (x, own);
+	if (own)
+		return;
+	if (!x->since_ms)
+		x->since_ms = news->since_ms;
+	if (x->key.is_part && !x->judgement)
+		x->judgement = ++c->last_judgement;
+	condemn (x, now_ms);
+	x->told = x->kept = true; /* by the one that tells it */
+}
+
+void
+cs_crash_counts_hear (cs_crash_counts_t *c, int64_t now_ms, const cs_crash_news_t *news, bool own)
+{
+	cs_crash_cause_t *x = find_cause (c, news->key);
+	if (news->verdict == CS_CRASH_CLAIM) {
+		hear_claim (c, now_ms, news->key, own);
+		return;
+	}
+	if (own && (!x || !x->is_condemned || !x->told))
+		return; /* of an earlier process */
+	if (news->verdict == CS_CRASH_WORKS)
+		hear_works (c, x, news);
+	else if (news->verdict == CS_CRASH_SUSPECTED || news->verdict == CS_CRASH_CONDEMNED)
+		hear_verdict (c, now_ms, news, own);
 }
 
 bool
-cs_crash_counts_sent (cs_crash_counts_t *c, uint64_t content)
+cs_crash_counts_sent (cs_crash_counts_t *c, const cs_crash_key_t *keys, size_t n)
 {
-	cs_crash_content_t *x = find_content (c, content);
-	if (!x || !x->may_try)
-		return false;
-	x->may_try = false;
-	return true;
+	bool tries = false;
+	for (size_t i = 0; i < n; i++) {
+		cs_crash_cause_t *x = find_cause (c, keys[i]);
+		if (!x || !x->may_try)
+			continue;
+		x->may_try = false;
+		tries = true;
+	}
+	return tries;
+}
+
+/* What is kept does not say when its evidence began; it was suspected or condemned at the end of
+ * it. */
+static int64_t
+kept_since_ms (int64_t now_ms, int64_t until_ms)
+{
+	return until_ms - (until_ms > now_ms + CS_CRASH_SUSPECTED_MS ? CS_CRASH_REFUSED_MS
+								     : CS_CRASH_SUSPECTED_MS);
 }
 
 void
-cs_crash_counts_refuse (cs_crash_counts_t *c, int64_t now_ms, uint64_t content, int64_t until_ms)
+cs_crash_counts_refuse (cs_crash_counts_t *c, int64_t now_ms, cs_crash_key_t key, int64_t until_ms)
 {
-	cs_crash_content_t *x = find_or_add_content (c, content);
-	if (has_answer (c, now_ms, content)) {
+	cs_crash_cause_t *x = find_or_add_cause (c, now_ms, key, true);
+	if (until_ms > now_ms + CS_CRASH_REFUSED_MS)
+		until_ms = now_ms + CS_CRASH_REFUSED_MS;
+	if (has_answer (c, now_ms, key, kept_since_ms (now_ms, until_ms))) {
 		x->owes_objection = true; /* a store that went back keeps it again */
 		return;
 	}
-	if (until_ms > now_ms + CS_CRASH_REFUSED_MS)
-		until_ms = now_ms + CS_CRASH_REFUSED_MS;
+	if (!x->since_ms)
+		x->since_ms = kept_since_ms (now_ms, until_ms);
+	if (key.is_part && !x->judgement) {
+		x->judgement = ++c->last_judgement;
+		x->tries = CS_CRASH_MAX_TRIES; /* it may have been tried */
+	}
 	if (until_ms > x->refused_until_ms)
 		x->refused_until_ms = until_ms;
 	x->asked = x->told = x->kept = true;
 }
 
-int64_t
-cs_crash_counts_refused_until_ms (const cs_crash_counts_t *c, int64_t now_ms, uint64_t content)
+/* Until when the cause by itself is refused; 0: it is not. */
+static int64_t
+refused_until_ms (const cs_crash_counts_t *c, int64_t now_ms, const cs_crash_cause_t *x)
 {
 	enum {
 		RECHECK_MS = 1000 /* by then it is known whether the back ends live */
 	};
-	const cs_crash_content_t *x = find_content (c, content);
-	if (!x)
-		return 0;
 	if (x->may_try)
 		return 0;
 	if (now_ms < x->refused_until_ms)
 		return x->refused_until_ms;
-	return count (c, now_ms, x, false) >= CS_CRASH_LIMIT ? now_ms + RECHECK_MS : 0;
+	bool is_suspected = x->key.is_part ? x->judgement != 0
+					   : cs_crash_count (c, now_ms, x, false) >= CS_CRASH_LIMIT;
+	return is_suspected ? now_ms + RECHECK_MS : 0;
+}
+
+int64_t
+cs_crash_counts_refused_until_ms (const cs_crash_counts_t *c, int64_t now_ms,
+				  const cs_crash_key_t *keys, size_t n, cs_crash_key_t *refused)
+{
+	const cs_crash_cause_t *only = NULL;
+	int64_t latest_ms = 0;
+	size_t n_refused = 0;
+	for (size_t i = 0; i < n; i++) {
+		const cs_crash_cause_t *x = find_cause (c, keys[i]);
+		int64_t until_ms = x ? refused_until_ms (c, now_ms, x) : 0;
+		n_refused += until_ms > 0;
+		if (until_ms <= latest_ms)
+			continue;
+		latest_ms = until_ms;
+		only = x;
+	}
+	if (only && refused)
+		*refused = only->key;
+	if (n_refused == 1 && cs_crash_is_tied (c, now_ms, only))
+		return 0;
+	return latest_ms;
+}
+
+bool
+cs_crash_counts_claim (cs_crash_counts_t *c, int64_t now_ms, const cs_crash_key_t *keys, size_t n)
+{
+	cs_crash_cause_t *refused[CS_CRASH_MAX_BREAKS];
+	size_t n_refused = 0;
+	for (size_t i = 0; i < n; i++) {
+		cs_crash_cause_t *x = find_cause (c, keys[i]);
+		if (!x || !refused_until_ms (c, now_ms, x))
+			continue;
+		if (!x->key.is_part || n_refused == CS_CRASH_MAX_BREAKS || x->wants_try ||
+		    x->tries >= CS_CRASH_MAX_TRIES || now_ms < x->try_from_ms)
+			return false;
+		refused[n_refused++] = x;
+	}
+	/* A try with several parts tells less: each keeps one for itself. */
+	for (size_t i = 0; i < n_refused; i++)
+		if (n_refused > 1 && refused[i]->tries)
+			return false;
+	for (size_t i = 0; i < n_refused; i++)
+		refused[i]->wants_try = true;
+	return n_refused > 0;
+}
+
+bool
+cs_crash_counts_is_doubtful (const cs_crash_counts_t *c, int64_t now_ms, const cs_crash_key_t *keys,
+			     size_t n)
+{
+	for (size_t i = 0; i < n; i++) {
+		const cs_crash_cause_t *x = find_cause (c, keys[i]);
+		if (x && cs_crash_weigh (c, now_ms, x, false).strong > 1)
+			return true;
+	}
+	return false;
 }
 
-/* What is to be told of the content. */
+bool
+cs_crash_counts_has_refused (const cs_crash_counts_t *c, int64_t now_ms)
+{
+	for (const cs_crash_cause_t *x = c->causes; x; x = x->hh.next)
+		if (refused_until_ms (c, now_ms, x))
+			return true;
+	return false;
+}
+
+/* What is to be told of the cause. */
 static cs_crash_verdict_t
-verdict_of (const cs_crash_counts_t *c, int64_t now_ms, const cs_crash_content_t *x)
+verdict_of (const cs_crash_counts_t *c, int64_t now_ms, const cs_crash_cause_t *x)
 {
 	if (x->owes_objection)
 		return CS_CRASH_WORKS;
@@ -277,25 +572,29 @@
 		return CS_CRASH_CONDEMNED;
 	if (x->told && !x->kept && now_ms < x->refused_until_ms)
 		return CS_CRASH_KEEP;
-	if (x->asked || count (c, now_ms, x, false) < CS_CRASH_LIMIT)
+	if (x->asked)
 		return CS_CRASH_NOTHING;
-	return CS_CRASH_SUSPECTED;
+	bool is_suspected = x->key.is_part ? x->judgement != 0
+					   : cs_crash_count (c, now_ms, x, false) >= CS_CRASH_LIMIT;
+	return is_suspected ? CS_CRASH_SUSPECTED : CS_CRASH_NOTHING;
 }
 
 bool
 cs_crash_counts_has_next (const cs_crash_counts_t *c, int64_t now_ms)
 {
-	for (const cs_crash_content_t *x = c->contents; x; x = x->hh.next)
+	for (const cs_crash_cause_t *x = c->causes; x; x = x->hh.next)
 		if (verdict_of (c, now_ms, x) != CS_CRASH_NOTHING)
 			return true;
 	return false;
 }
 
 static void
-mark_told (cs_crash_counts_t *c, cs_crash_content_t *x, cs_crash_verdict_t verdict)
+mark_told (cs_crash_counts_t *c, cs_crash_cause_t *x, cs_crash_verdict_t verdict)
 {
 	if (verdict == CS_CRASH_WORKS) {
-		remove_content (c, x);
+		x->asked = x->told = x->kept = x->owes_objection = x->has_first = false;
+		if (!x->n && !x->refused_until_ms)
+			remove_cause (c, x);
 		return;
 	}
 	x->asked = true;
@@ -303,24 +602,59 @@
 	x->kept |= verdict == CS_CRASH_CONDEMNED || verdict == CS_CRASH_KEEP;
 }
 
-cs_crash_verdict_t
-cs_crash_counts_next (cs_crash_counts_t *c, int64_t now_ms, uint64_t *content)
+/* Begin of the evidence, or of the run that refutes it. */
+static int64_t
+since_ms (const cs_crash_counts_t *c, const cs_crash_cause_t *x, cs_crash_verdict_t verdict)
 {
-	cs_crash_content_t *x, *next;
-	HASH_ITER (hh, c->contents, x, next) {
-		cs_crash_verdict_t verdict = verdict_of (c, now_ms, x);
-		if (verdict == CS_CRASH_NOTHING)
+	if (verdict == CS_CRASH_WORKS)
+		return answer_slot (c, x->key)->answered_ms;
+	if (x->since_ms || x->n < CS_CRASH_LIMIT)
+		return x->since_ms;
+	return x->breaks[x->n - CS_CRASH_LIMIT].end->at_ms;
+}
+
+cs_crash_news_t
+cs_crash_counts_next (cs_crash_counts_t *c, int64_t now_ms)
+{
+	cs_crash_cause_t *x, *next;
+	cs_crash_news_t news = {.verdict = CS_CRASH_NOTHING};
+	HASH_ITER (hh, c->causes, x, next) {
+		news.verdict = verdict_of (c, now_ms, x);
+		if (news.verdict == CS_CRASH_NOTHING)
 			continue;
-		*content = x->content;
-		mark_told (c, x, verdict);
-		return verdict;
+		news.key = x->key;
+		news.since_ms = since_ms (c, x, news.verdict);
+		mark_told (c, x, news.verdict);
+		break;
 	}
-	return CS_CRASH_NOTHING;
+	return news;
+}
+
+cs_crash_news_t
+cs_crash_counts_next_claim (cs_crash_counts_t *c, int64_t now_ms)
+{
+	cs_crash_cause_t *x = c->causes;
+	while (x && !x->wants_try)
+		x = x->hh.next;
+	if (!x)
+		return (cs_crash_news_t){.verdict = CS_CRASH_NOTHING};
+	x->wants_try = false;
+	x->try_from_ms = now_ms + TRY_MS;
+	return (cs_crash_news_t){.key = x->key, .verdict = CS_CRASH_CLAIM};
+}
+
+void
+cs_crash_counts_describe (const cs_crash_counts_t *c, cs_crash_key_t key, cs_buf_t *out)
+{
+	const cs_crash_cause_t *x = find_cause (c, key);
+	for (size_t i = 0; x && i < x->n; i++)
+		cs_buf_printf (out, "%s%s/%" PRIu64, i ? "," : "", x->breaks[i].end->back_end,
+			       x->breaks[i].end->born);
 }
 
 void
 cs_crash_counts_forget_kept (cs_crash_counts_t *c)
 {
-	for (cs_crash_content_t *x = c->contents; x; x = x->hh.next)
+	for (cs_crash_cause_t *x = c->causes; x; x = x->hh.next)
 		x->kept = false;
 }
--- a/packages/decide/src/suspects.c
+++ b/packages/decide/src/suspects.c
@@ -60,6 +60,7 @@
 	if (e->incarnation != incarnation)
 		e->failures = 0;
 	e->incarnation = incarnation;
+	e->failed_ms = now_ms;
 	if (e->failures && now_ms < e->until_ms)
 		return false;
 	uint32_t doublings = e->failures < MAX_DOUBLINGS ? e->failures : MAX_DOUBLINGS;
@@ -86,6 +87,13 @@
 	return e ? e->answered_ms : 0;
 }
 
+int64_t
+cs_suspects_failed_ms (const cs_suspects_t *s, const char *id)
+{
+	const cs_suspect_t *e = find_entry (s, id);
+	return e ? e->failed_ms : 0;
+}
+
 bool
 cs_suspects_has (const cs_suspects_t *s, int64_t now_ms, const char *id, uint64_t incarnation)
 {
--- a/packages/decide/tests/test_crash_counts.c
+++ b/packages/decide/tests/test_crash_counts.c
@@ -10,6 +10,9 @@
 	MAX_BACK_ENDS = 8
 };
 
+static const cs_crash_key_t KEY = {7, false};
+static const cs_crash_key_t OTHER = {8, false};
+
 typedef struct {
 	int64_t at_ms; /* 0: the end */
 	enum {
@@ -162,13 +165,28 @@
 
 static const cs_crash_evidence_ops_t evidence = {answered_ms, is_listed};
 
+static void
+add_break (cs_crash_counts_t *c, int64_t now, const char *back_end, uint64_t born)
+{
+	const cs_crash_break_t b = {back_end, born, now};
+	const cs_crash_blame_t blamed = {KEY, true};
+	cs_crash_counts_add (c, now, &b, &blamed, 1);
+}
+
+static void
+hear (cs_crash_counts_t *c, int64_t now, cs_crash_verdict_t verdict, int64_t since_ms, bool own)
+{
+	const cs_crash_news_t news = {KEY, verdict, since_ms};
+	cs_crash_counts_hear (c, now, &news, own);
+}
+
 static void
 take_step (cs_crash_counts_t *c, known_t *known, const step_t *s)
 {
 	const char name[] = {(char)('0' + s->back_end), 0};
 	switch (s->what) {
 	case BREAKS:
-		cs_crash_counts_add (c, s->at_ms, 7, name, s->born);
+		add_break (c, s->at_ms, name, s->born);
 		break;
 	case ENDED:
 		known->ended[s->back_end] = s->born;
@@ -178,13 +196,14 @@
 		known->answered_ms[s->back_end] = s->at_ms;
 		break;
 	case ANSWERED:
-		cs_crash_counts_answered (c, s->at_ms, 7);
+		cs_crash_counts_answered (c, s->at_ms, KEY, s->at_ms);
 		break;
 	case KEPT:
-		cs_crash_counts_refuse (c, s->at_ms, 7, s->at_ms + CS_CRASH_SUSPECTED_MS);
+		cs_crash_counts_refuse (c, s->at_ms, KEY, s->at_ms + CS_CRASH_SUSPECTED_MS);
 		break;
 	case HEARS:
-		cs_crash_counts_hear (c, s->at_ms, 7, (cs_crash_verdict_t)s->back_end, false);
+		hear (c, s->at_ms, (cs_crash_verdict_t)s->back_end,
+		      s->back_end == CS_CRASH_WORKS ? s->at_ms : 0, false);
 		break;
 	}
 }
@@ -197,14 +216,19 @@
 				       [CS_CRASH_CONDEMNED] = 'c',
 				       [CS_CRASH_WORKS] = 'w',
 				       [CS_CRASH_KEEP] = 'k'};
-	cs_crash_verdict_t verdict;
-	uint64_t content = 0;
-	while ((verdict = cs_crash_counts_next (c, now, &content)) != CS_CRASH_NOTHING) {
-		assert_int_equal (content, 7);
-		cs_buf_printf (out, "%c", letters[verdict]);
+	cs_crash_news_t news;
+	while ((news = cs_crash_counts_next (c, now)).verdict != CS_CRASH_NOTHING) {
+		assert_int_equal (news.key.id, KEY.id);
+		cs_buf_printf (out, "%c", letters[news.verdict]);
 	}
 }
 
+static bool
+is_refused (const cs_crash_counts_t *c, int64_t now)
+{
+	return cs_crash_counts_refused_until_ms (c, now, &KEY, 1, NULL) > now;
+}
+
 static void
 test_contents (void **state)
 {
@@ -220,22 +244,20 @@
 			take_step (&c, &known, s);
 			now = s->at_ms;
 		}
-		assert_int_equal (cs_crash_counts_refused_until_ms (&c, now, 7) > now,
-				  cases[i].refused);
-		assert_int_equal (cs_crash_counts_refused_until_ms (&c, now, 8), 0);
+		assert_int_equal (is_refused (&c, now), cases[i].refused);
+		assert_int_equal (cs_crash_counts_refused_until_ms (&c, now, &OTHER, 1, NULL), 0);
 		collect (&c, now, &told);
 		assert_true (cs_str_is (cs_buf_str (&told), cases[i].tells));
 		now += 100000;
 		cs_crash_counts_review (&c, now);
-		assert_int_equal (cs_crash_counts_refused_until_ms (&c, now, 7) > now,
-				  cases[i].refused_later);
+		assert_int_equal (is_refused (&c, now), cases[i].refused_later);
 		cs_crash_counts_forget_kept (&c);
 		cs_buf_clear (&told);
 		collect (&c, now, &told);
 		assert_true (cs_str_is (cs_buf_str (&told), cases[i].refused_later ? "k" : ""));
 		now += CS_CRASH_REFUSED_MS;
 		cs_crash_counts_review (&c, now);
-		assert_null (c.contents);
+		assert_null (c.causes);
 		cs_crash_counts_finish (&c);
 		cs_buf_finish (&told);
 	}
@@ -262,11 +284,9 @@
 	{"kept by a store that went back, answered another daemon before", "wkr", "w"},
 };
 
-static bool
-is_refused (const cs_crash_counts_t *c, int64_t now)
-{
-	return cs_crash_counts_refused_until_ms (c, now, 7) > now;
-}
+enum {
+	CONDEMNED_MS = 660 /* the last of the ends below */
+};
 
 static void
 take_trial_step (cs_crash_counts_t *c, int64_t now, char step)
@@ -274,24 +294,24 @@
 	switch (step) {
 	case 'o':
 	case 'c':
-		cs_crash_counts_hear (c, now, 7, CS_CRASH_CONDEMNED, step == 'o');
+		hear (c, now, CS_CRASH_CONDEMNED, CONDEMNED_MS, step == 'o');
 		break;
 	case 'w':
-		cs_crash_counts_hear (c, now, 7, CS_CRASH_WORKS, false);
+		hear (c, now, CS_CRASH_WORKS, now, false);
 		break;
 	case 'k':
-		cs_crash_counts_refuse (c, now, 7, now + CS_CRASH_REFUSED_MS);
+		cs_crash_counts_refuse (c, now, KEY, CONDEMNED_MS + CS_CRASH_REFUSED_MS);
 		break;
 	case 'r':
 	case 'R':
 		assert_int_equal (is_refused (c, now), step == 'R');
-		cs_crash_counts_sent (c, 7);
+		cs_crash_counts_sent (c, &KEY, 1);
 		break;
 	case 'a':
-		cs_crash_counts_answered (c, now, 7);
+		cs_crash_counts_answered (c, now, KEY, now);
 		break;
 	default:
-		cs_crash_counts_add (c, now, 7, "4", 1);
+		add_break (c, now, "4", 1);
 	}
 }
 
@@ -325,17 +345,18 @@
 static void
 test_bounded (void **state)
 {
-	const uint64_t n = UINT64_C (3) * CS_CRASH_MAX_CONTENTS;
+	const uint64_t n = UINT64_C (3) * CS_CRASH_MAX_CAUSES;
 	cs_crash_counts_t c;
 	known_t known = {0};
 	(void)state;
 	cs_crash_counts_init (&c, &evidence, &known);
 	for (uint64_t content = 0; content < n; content++)
-		cs_crash_counts_refuse (&c, 1, content, 1000);
-	assert_int_equal (cs_crash_counts_refused_until_ms (&c, 2, 0), 0);
-	assert_int_equal (cs_crash_counts_refused_until_ms (&c, 2, n - 1), 1000);
+		cs_crash_counts_refuse (&c, 1, (cs_crash_key_t){content, false}, 1000);
+	const cs_crash_key_t first = {0, false}, last = {n - 1, false};
+	assert_int_equal (cs_crash_counts_refused_until_ms (&c, 2, &first, 1, NULL), 0);
+	assert_int_equal (cs_crash_counts_refused_until_ms (&c, 2, &last, 1, NULL), 1000);
 	cs_crash_counts_review (&c, 1000);
-	assert_null (c.contents);
+	assert_null (c.causes);
 	cs_crash_counts_finish (&c);
 }
 
--- a/packages/forward/src/admit.c
+++ b/packages/forward/src/admit.c
@@ -70,15 +70,20 @@
 }
 
 static void
-read_parts (cs_call_t *c)
+set_causes (cs_call_t *c)
 {
 	uint64_t parts[CS_PROMPT_MAX_PARTS];
 	cs_str_t prompt = cs_headers_find (&c->headers, c->forward->names->prompt);
-	c->n_parts = prompt.n ? c->forward->host->adapter->decode_prompt (prompt, parts) : 0;
-	if (!c->n_parts)
-		return;
-	c->parts = cs_alloc (c->n_parts * sizeof *parts);
-	memcpy (c->parts, parts, c->n_parts * sizeof *parts);
+	size_t n = prompt.n ? c->forward->host->adapter->decode_prompt (prompt, parts) : 0;
+	c->causes = cs_alloc ((n + 1) * sizeof *c->causes);
+	c->causes[c->n_causes++].id = c->content;
+	for (size_t i = 0; i < n; i++) {
+		bool is_known = false;
+		for (size_t k = 0; k < i; k++)
+			is_known |= parts[k] == parts[i];
+		if (!is_known)
+			c->causes[c->n_causes++] = (cs_crash_key_t){parts[i], true};
+	}
 }
 
 /* Tells the task "former" that there is traffic: only from then on are loads of weights spread
@@ -134,7 +139,7 @@
 	c->service = cs_str_dup (cs_str (cs_serving_pick_service (c->route, &f->rng)));
 	c->content = cs_poison_fingerprint (cs_str (c->team ? c->team->name : ""),
 					    cs_str (c->target), cs_buf_str (&c->body));
-	read_parts (c);
+	set_causes (c);
 	cs_retry_count_first_try (&f->retry, c->received_ms);
 	cs_dispatch (c);
 }
--- a/packages/forward/src/attempt_end.c
+++ b/packages/forward/src/attempt_end.c
@@ -62,7 +62,7 @@
 	else if (!s->call->abandoned && !s->is_blameless && a->end != CS_ATTEMPT_TIMEOUT)
 		record_failure (s, a, now);
 	if (answered && cs_outcome_run (a) == CS_RUN_YES && a->status < STATUS_SERVER_ERROR)
-		cs_crashes_record_answer (s->call);
+		cs_crashes_record_answer (s);
 	else if (a->end == CS_ATTEMPT_BROKEN && !s->malformed && !s->call->abandoned)
 		cs_crashes_record_break (s);
 	if (a->end == CS_ATTEMPT_SILENT && !s->first_us)
@@ -170,7 +170,9 @@
 		cs_request_state_t state = cs_call_state (c);
 		cs_next_step_t then = cs_outcome_next_step (a, &state);
 		if ((then == CS_NEXT_RETRY || then == CS_NEXT_RESUME) && !s->retry_granted &&
-		    (cs_crashes_is_refused (c, &retry_after_ms) || !acquire_retry (c, &delay_ms))) {
+		    (cs_crashes_is_refused (c, &retry_after_ms) ||
+		     (a->end == CS_ATTEMPT_BROKEN && cs_crashes_is_doubtful (c)) ||
+		     !acquire_retry (c, &delay_ms))) {
 			state.may_repeat = false;
 			then = cs_outcome_next_step (a, &state);
 		}
--- a/packages/forward/src/backend_request.c
+++ b/packages/forward/src/backend_request.c
@@ -296,6 +296,7 @@
 	s->last_us = cs_now_us ();
 	cs_suspects_record_answer (&c->forward->suspects, s->last_us / 1000, s->backend_id);
 	record_first_byte (s, s->last_us);
+	cs_crashes_record_event (s);
 	s->suspected = false;
 	set_progress_timer (s, gap_timeout_ms (c, s->last_us / 1000));
 }
--- a/packages/forward/src/call.c
+++ b/packages/forward/src/call.c
@@ -62,7 +62,7 @@
 	free (c->method);
 	free (c->target);
 	free (c->service);
-	free (c->parts);
+	free (c->causes);
 	free (c);
 }
 
--- a/packages/forward/src/dispatch.c
+++ b/packages/forward/src/dispatch.c
@@ -11,7 +11,8 @@
 	STATUS_UNAVAILABLE = 503,
 	NO_TARGET_RETRY_MS =
 		1000, /* a group is repaired in about this time if the weights are still cached */
-	BUSY_RETRY_MS = 400, /* some requests end within this time */
+	CLAIM_CHECK_MS = 100, /* until it is looked whether a claim was read */
+	BUSY_RETRY_MS = 400,  /* some requests end within this time */
 	MAX_RETRY_AFTER_MS =
 		30000 /* a back end may return, or another one start, before its time */
 };
@@ -119,13 +120,19 @@
 	}
 }
 
-/* Refuses a request whose content crashes the back ends that run it. */
+/* Refuses a request that crashes the back ends that run it, or lets it wait for a moment. */
 static bool
 refuse_crashing (cs_call_t *c)
 {
 	uint32_t retry_after_ms;
 	if (!cs_crashes_is_refused (c, &retry_after_ms))
 		return false;
+	if (cs_crashes_may_wait (c)) {
+		cs_timer_start_after (c->forward->task->kernel->loop, &c->retry_timer,
+				      CLAIM_CHECK_MS);
+		return true;
+	}
+	cs_crashes_log_refusal (c);
 	cs_dispatch_refuse (c, "crashes-back-ends", retry_after_ms);
 	return true;
 }
--- a/packages/forward/src/forward.c
+++ b/packages/forward/src/forward.c
@@ -148,8 +148,8 @@
 	case CS_HOST_TURNED_AWAY:
 		cs_said_turned_away (f, said->id, said->born, said->until_ms);
 		break;
-	case CS_HOST_REFUSED_CONTENT:
-		cs_crashes_receive_kept (f, (cs_content_msg_t *)m);
+	case CS_HOST_REFUSED_CAUSE:
+		cs_crashes_receive_kept (f, (cs_crash_msg_t *)m);
 		break;
 	case CS_HOST_SETTINGS_CHANGED:
 		cs_retry_set_percent (&f->retry, retry_percent (f));
@@ -175,7 +175,7 @@
 	cs_router_finish (&f->router);
 	cs_suspects_finish (&f->suspects);
 	cs_notes_finish (f);
-	cs_crash_counts_finish (&f->crashes);
+	cs_crashes_finish (f);
 	cs_answer_timeout_finish (&f->answer_timeout);
 	cs_fleet_finish (&f->fleet);
 	if (f->serving)
--- a/packages/forward/src/forward.h
+++ b/packages/forward/src/forward.h
@@ -23,6 +23,7 @@
 #include "cs/sse.h"
 #include "cs/stop.h"
 #include "cs/suspects.h"
+#include "cs/unproven_answers.h"
 
 typedef struct cs_call cs_call_t;
 typedef struct cs_wait_queue cs_wait_queue_t;
@@ -47,8 +48,9 @@
 	cs_answer_timeout_t answer_timeout;
 	cs_notices_t notices;
 	cs_crash_counts_t crashes;
-	int64_t tell_contents_ms; /* when the next verdict on a content is published; 0: none is due
-				   */
+	cs_unproven_answers_t unproven_answers;
+	int64_t tell_ms; /* when the next verdict on a cause of crashes is published; 0: none is due
+			  */
 	cs_broken_note_t *broken_notes; /* not published yet */
 	cs_notices_t broken_notices;
 	ev_timer broken_timer;
@@ -123,6 +125,7 @@
 			   */
 	int64_t last_us;
 	uint32_t events;
+	bool is_written; /* its back end has written on the answer for a while */
 } cs_backend_request_t;
 
 enum {
@@ -162,9 +165,12 @@
 	const cs_team_t *team; /* NULL if there is none, as on a public route */
 	char *service;
 	uint64_t content; /* hash of team, path and body: equal if the caller asks again */
-	uint64_t *parts;  /* ids of the parts of its prompt that others may have */
-	size_t n_parts;
-	uint32_t runs; /* attempts that ran or may have run */
+	/* What may crash back ends: the content, then the parts of its prompt that others may have.
+	 */
+	cs_crash_key_t *causes;
+	size_t n_causes;
+	int64_t claim_until_ms; /* it waits for a claim to try its parts; 0: it never did */
+	uint32_t runs;          /* attempts that ran or may have run */
 	uint32_t tries;
 	char *tried[CS_OUTCOME_MAX_TRIES];
 	cs_backend_request_t *backend_request; /* attempt in progress; NULL: none */
@@ -275,25 +281,36 @@
 void cs_reply_resume (cs_call_t *c);
 /* notes.c: notes that daemons exchange about groups. */
 void cs_notes_publish_silent (cs_forward_t *f, const cs_backend_t *head);
-/* Publishes, after a moment in which more of them come, that the back end broke under the content.
- */
-void cs_notes_add_break (cs_forward_t *f, const char *back_end, uint64_t born, uint64_t content);
-void cs_notes_publish_content (cs_forward_t *f, uint64_t content, cs_crash_verdict_t kind);
+/* Publishes, after a moment in which more of them come, what the back end ran when connections to
+ * it broke. */
+void cs_notes_add_break (cs_forward_t *f, const cs_crash_break_t *b, const cs_crash_blame_t *blamed,
+			 size_t n);
+void cs_notes_publish_news (cs_forward_t *f, const cs_crash_news_t *news);
 void cs_notes_init (cs_forward_t *f);
 void cs_notes_finish (cs_forward_t *f);
 void cs_notes_receive (cs_forward_t *f, cs_str_t bytes);
-/* crashes.c: contents that crash back ends */
+/* crashes.c: contents and parts of prompts that crash back ends */
 void cs_crashes_init (cs_forward_t *f);
+void cs_crashes_finish (cs_forward_t *f);
 /* Records that the connection broke while the back end ran the request. */
 void cs_crashes_record_break (const cs_backend_request_t *s);
 /* Records that a back end answered the request. */
-void cs_crashes_record_answer (const cs_call_t *c);
+void cs_crashes_record_answer (const cs_backend_request_t *s);
+/* Records an event of a stream. */
+void cs_crashes_record_event (cs_backend_request_t *s);
 void cs_crashes_record_send (const cs_call_t *c);
 bool cs_crashes_is_refused (const cs_call_t *c, uint32_t *retry_after_ms);
+/* Logs which cause the request is refused for. */
+void cs_crashes_log_refusal (const cs_call_t *c);
+/* True if the request, which is refused, is to be dispatched again in a moment, as it may try its
+ * parts. */
+bool cs_crashes_may_wait (cs_call_t *c);
+/* True if the request is not to be sent to another back end behind a break. */
+bool cs_crashes_is_doubtful (const cs_call_t *c);
 /* Tells other daemons what this one has found; called at each tick. */
 void cs_crashes_tick (cs_forward_t *f, int64_t now_ms);
-/* Takes over a content that the store keeps. */
-void cs_crashes_receive_kept (cs_forward_t *f, const cs_content_msg_t *m);
+/* Takes over a cause that the store keeps. */
+void cs_crashes_receive_kept (cs_forward_t *f, const cs_crash_msg_t *m);
 /* request_metrics.c */
 void cs_counts_request_ended (const cs_call_t *c);
 void cs_counts_attempt_ended (const cs_attempt_t *result);
--- a/packages/forward/src/notes.c
+++ b/packages/forward/src/notes.c
@@ -12,6 +12,8 @@
 	RETRY_MS = 400,         /* until the rate of notes allows another one */
 	BATCH_MS = 30,          /* the connections of a back end that ends break within this time */
 	MAX_BATCH = 32,         /* contents of one note; a back end runs fewer of one daemon */
+	MAX_PARTS = 64,         /* parts of prompts of one note, and as many that count half */
+	MAX_NOTE_AGE_MS = 2000, /* a note is read well within this time; clocks may be wrong */
 	RECENT_ANSWER_MS = 400  /* an answer received here this recently outweighs a failure seen by
 				   another daemon */
 };
@@ -30,8 +32,13 @@
 struct cs_broken_note {
 	char *back_end;
 	uint64_t born;
+	uint64_t at; /* time of day */
 	uint64_t contents[MAX_BATCH];
+	uint64_t parts[MAX_PARTS];
+	uint64_t weak_parts[MAX_PARTS];
 	size_t n;
+	size_t n_parts;
+	size_t n_weak_parts;
 	cs_broken_note_t *next;
 };
 
@@ -163,6 +170,11 @@
 	broken.born = b->born;
 	broken.contents = b->contents;
 	broken.n_contents = b->n;
+	broken.parts = b->parts;
+	broken.n_parts = b->n_parts;
+	broken.weak_parts = b->weak_parts;
+	broken.n_weak_parts = b->n_weak_parts;
+	broken.at = b->at;
 	note.body_case = CS__NOTE__BODY_BROKEN;
 	note.broken = &broken;
 	publish_note (f, &note);
@@ -182,23 +194,46 @@
 		cs_timer_start_after (loop, &f->broken_timer, RETRY_MS);
 }
 
+static void
+add_once (uint64_t *ids, size_t *n, size_t max, uint64_t id)
+{
+	for (size_t i = 0; i < *n; i++)
+		if (ids[i] == id)
+			return;
+	if (*n < max)
+		ids[(*n)++] = id;
+}
+
 void
-cs_notes_add_break (cs_forward_t *f, const char *back_end, uint64_t born, uint64_t content)
+cs_notes_add_break (cs_forward_t *f, const cs_crash_break_t *b, const cs_crash_blame_t *blamed,
+		    size_t n)
 {
-	cs_broken_note_t *b = find_or_add_broken (f, back_end, born);
-	if (b->n < MAX_BATCH)
-		b->contents[b->n++] = content;
+	cs_broken_note_t *note = find_or_add_broken (f, b->back_end, b->born);
+	if (!note->at)
+		note->at = (uint64_t)(cs_time_of_day_ms () - (cs_now_ms () - b->at_ms));
+	for (size_t i = 0; i < n; i++) {
+		if (!blamed[i].key.is_part)
+			add_once (note->contents, &note->n, MAX_BATCH, blamed[i].key.id);
+		else if (blamed[i].is_strong)
+			add_once (note->parts, &note->n_parts, MAX_PARTS, blamed[i].key.id);
+		else
+			add_once (note->weak_parts, &note->n_weak_parts, MAX_PARTS,
+				  blamed[i].key.id);
+	}
 	if (!ev_is_active (&f->broken_timer))
 		cs_timer_start_after (f->task->kernel->loop, &f->broken_timer, BATCH_MS);
 }
 
 void
-cs_notes_publish_content (cs_forward_t *f, uint64_t content, cs_crash_verdict_t kind)
+cs_notes_publish_news (cs_forward_t *f, const cs_crash_news_t *news)
 {
 	Cs__ContentVerdict verdict = CS__CONTENT_VERDICT__INIT;
 	Cs__Note note = CS__NOTE__INIT;
-	verdict.content = content;
-	verdict.kind = (Cs__ContentVerdict__Kind)kind;
+	verdict.content = news->key.id;
+	verdict.is_part = news->key.is_part != 0;
+	verdict.kind = (Cs__ContentVerdict__Kind)news->verdict;
+	if (news->since_ms)
+		verdict.since = (uint64_t)(cs_time_of_day_ms () - (cs_now_ms () - news->since_ms));
 	note.body_case = CS__NOTE__BODY_VERDICT;
 	note.verdict = &verdict;
 	publish_note (f, &note);
@@ -220,19 +255,50 @@
 		f->broken_notes = free_broken (f->broken_notes);
 }
 
+/* A time of another daemon's clock on the clock of cs_now_ms. */
+static int64_t
+local_ms (uint64_t at, int64_t max_age_ms)
+{
+	int64_t age_ms = at ? cs_time_of_day_ms () - (int64_t)at : 0;
+	age_ms = age_ms < 0 ? 0 : age_ms;
+	return cs_now_ms () - (age_ms < max_age_ms ? age_ms : max_age_ms);
+}
+
+static size_t
+add_blamed (cs_crash_blame_t *blamed, size_t n, size_t max, const uint64_t *ids, size_t n_ids,
+	    cs_crash_blame_t kind)
+{
+	for (size_t i = 0; i < n_ids && n < max; i++) {
+		kind.key.id = ids[i];
+		blamed[n++] = kind;
+	}
+	return n;
+}
+
 static void
 apply_broken (cs_forward_t *f, const Cs__Broken *b)
 {
-	for (size_t i = 0; i < b->n_contents; i++)
-		cs_crash_counts_add (&f->crashes, cs_now_ms (), b->contents[i], b->back_end,
-				     b->born);
+	enum {
+		MAX = MAX_BATCH + 2 * MAX_PARTS
+	};
+	cs_crash_blame_t blamed[MAX];
+	const cs_crash_break_t seen = {b->back_end, b->born, local_ms (b->at, MAX_NOTE_AGE_MS)};
+	size_t n = add_blamed (blamed, 0, MAX, b->contents, b->n_contents,
+			       (cs_crash_blame_t){{0, false}, true});
+	n = add_blamed (blamed, n, MAX, b->parts, b->n_parts, (cs_crash_blame_t){{0, true}, true});
+	n = add_blamed (blamed, n, MAX, b->weak_parts, b->n_weak_parts,
+			(cs_crash_blame_t){{0, true}, false});
+	cs_crash_counts_add (&f->crashes, cs_now_ms (), &seen, blamed, n);
 }
 
 static void
 apply_verdict (cs_forward_t *f, const Cs__Note *note)
 {
 	const Cs__ContentVerdict *v = note->verdict;
-	cs_crash_counts_hear (&f->crashes, cs_now_ms (), v->content, (cs_crash_verdict_t)v->kind,
+	const cs_crash_news_t news = {{v->content, v->is_part},
+				      (cs_crash_verdict_t)v->kind,
+				      v->since ? local_ms (v->since, CS_CRASH_WINDOW_MS) : 0};
+	cs_crash_counts_hear (&f->crashes, cs_now_ms (), &news,
 			      !strcmp (note->from, f->host->name));
 }
 
--- a/packages/host/include/cs/host_messages.h
+++ b/packages/host/include/cs/host_messages.h
@@ -9,12 +9,13 @@
  *   former -> store            PROPOSE
  *   forward, former <-> store  NOTE, through the store to all daemons
  *   forward -> former          TRAFFIC
- *   forward <-> store          REFUSED_CONTENT
+ *   forward <-> store          REFUSED_CAUSE
  *   forward <-> former         LEAVING, TURNED_AWAY
  *   main   -> all              STOP, BOUNDS */
 #ifndef CS_HOST_MESSAGES_H
 #define CS_HOST_MESSAGES_H
 
+#include "cs/crash_counts.h"
 #include "cs/fleet.h"
 #include "cs/kernel.h"
 #include "cs/note.pb-c.h"
@@ -32,8 +33,8 @@
 	CS_HOST_NOTE,    /* cs_ledger_msg_t: a packed Note; `offset` is its position in the topic */
 	CS_HOST_LEAVING, /* a back end has said in an answer that it leaves */
 	CS_HOST_TURNED_AWAY,      /* a back end wants no requests of this daemon for a time */
-	CS_HOST_REFUSED_CONTENT,  /* a content that crashes back ends, to be kept in the store or
-				     kept  there; 0: what is kept follows */
+	CS_HOST_REFUSED_CAUSE,    /* what crashes back ends, to be kept in the store or
+				       kept  there; 0: what is kept follows */
 	CS_HOST_TRAFFIC,          /* the first request of any caller has been received */
 	CS_HOST_SETTINGS_CHANGED, /* run-time settings have changed, see cs_host_apply_settings */
 	CS_HOST_STOP
@@ -61,9 +62,9 @@
 
 typedef struct {
 	cs_msg_t msg;
-	uint64_t content;
-	int64_t until_ms; /* cs_now_ms clock */
-} cs_content_msg_t;
+	cs_crash_key_t key; /* id 0: a listing of all that is kept begins */
+	int64_t until_ms;   /* cs_now_ms clock */
+} cs_crash_msg_t;
 
 /* LIST_STATE: whether the list of back ends can be read. TURN: whether this daemon holds the
  * planner lease, and until when (until_ms, cs_now_ms clock). */
@@ -99,7 +100,7 @@
 /* Copies id. */
 cs_backend_said_msg_t *cs_backend_said_msg (int kind, const char *id, uint64_t born,
 					    int64_t until_ms);
-cs_content_msg_t *cs_content_msg (int kind, uint64_t content, int64_t until_ms);
+cs_crash_msg_t *cs_crash_msg (int kind, cs_crash_key_t key, int64_t until_ms);
 cs_state_msg_t *cs_state_msg (int kind, bool yes, int64_t until_ms);
 cs_ledger_msg_t *cs_ledger_msg (int kind, uint64_t offset, cs_str_t bytes, cs_status_t status);
 /* A NOTE for the store, packed from note. Sets note->from, which refers to `from` afterwards. */
--- a/packages/host/src/host_messages.c
+++ b/packages/host/src/host_messages.c
@@ -87,11 +87,11 @@
 	return m;
 }
 
-cs_content_msg_t *
-cs_content_msg (int kind, uint64_t content, int64_t until_ms)
+cs_crash_msg_t *
+cs_crash_msg (int kind, cs_crash_key_t key, int64_t until_ms)
 {
-	cs_content_msg_t *m = cs_msg_new (sizeof *m, kind, cs_msg_free);
-	m->content = content;
+	cs_crash_msg_t *m = cs_msg_new (sizeof *m, kind, cs_msg_free);
+	m->key = key;
 	m->until_ms = until_ms;
 	return m;
 }
--- a/packages/http/include/cs/http.h
+++ b/packages/http/include/cs/http.h
@@ -48,6 +48,8 @@
 	bool is_reused;
 	/* Set before on_end: the connection was refused (ECONNREFUSED). */
 	bool is_connection_refused;
+	/* Set before on_end: the head of the response says where its body ends. */
+	bool is_delimited;
 	/* private */
 	cs_http_t *http;
 	struct cs_http_transfer *transfer; /* NULL when the call is not in progress */
--- a/packages/http/src/http.c
+++ b/packages/http/src/http.c
@@ -63,6 +63,7 @@
 	cs_http_call_t *call = t->call;
 	cs_http_t *http = call->http;
 	int status = t->status;
+	call->is_delimited = t->delimited;
 	if (end != CS_HTTP_DONE && end != CS_HTTP_CANCELLED && !t->sent)
 		end = CS_HTTP_NOT_SENT;
 	ev_timer_stop (http->loop, &t->timeout_timer);
--- a/packages/kernel/include/cs/kernel.h
+++ b/packages/kernel/include/cs/kernel.h
@@ -88,6 +88,8 @@
 int64_t cs_now_ms (void);
 /* Microseconds of the same clock. */
 int64_t cs_now_us (void);
+/* The time of day: Unix time in ms. It may jump. */
+int64_t cs_time_of_day_ms (void);
 /* Restarts the timer to fire once after ms milliseconds, or in the next turn of the loop if
  * ms is not positive. */
 void cs_timer_start_after (struct ev_loop *loop, ev_timer *w, int64_t ms);
--- a/packages/wire/include/cs/note.pb-c.h
+++ b/packages/wire/include/cs/note.pb-c.h
@@ -29,7 +29,12 @@
   CS__CONTENT_VERDICT__KIND__NOTHING = 0,
   CS__CONTENT_VERDICT__KIND__SUSPECTED = 1,
   CS__CONTENT_VERDICT__KIND__CONDEMNED = 2,
-  CS__CONTENT_VERDICT__KIND__WORKS = 3
+  CS__CONTENT_VERDICT__KIND__WORKS = 3,
+  /*
+   * is not sent
+   */
+  CS__CONTENT_VERDICT__KIND__KEEP = 4,
+  CS__CONTENT_VERDICT__KIND__CLAIM = 5
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CS__CONTENT_VERDICT__KIND)
 } Cs__ContentVerdict__Kind;
 
@@ -93,24 +98,47 @@
   uint64_t born;
   size_t n_contents;
   uint64_t *contents;
+  /*
+   * of prompts, to be blamed in full
+   */
+  size_t n_parts;
+  uint64_t *parts;
+  /*
+   * of prompts, to be blamed in half
+   */
+  size_t n_weak_parts;
+  uint64_t *weak_parts;
+  /*
+   * Unix time in ms by the sender's clock; 0: not stated
+   */
+  uint64_t at;
 };
 #define CS__BROKEN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cs__broken__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 /*
- * What the sender says of a content of requests; Kind is cs_crash_verdict_t.
+ * What the sender says of a content of requests, or of a part of prompts; Kind is
+ * cs_crash_verdict_t.
  */
 struct  Cs__ContentVerdict
 {
   ProtobufCMessage base;
+  /*
+   * or the part's id
+   */
   uint64_t content;
   Cs__ContentVerdict__Kind kind;
+  protobuf_c_boolean is_part;
+  /*
+   * as cs_crash_news_t; Unix time in ms by the sender's clock; 0: not stated
+   */
+  uint64_t since;
 };
 #define CS__CONTENT_VERDICT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cs__content_verdict__descriptor) \
-    , 0, CS__CONTENT_VERDICT__KIND__NOTHING }
+    , 0, CS__CONTENT_VERDICT__KIND__NOTHING, 0, 0 }
 
 
 /*
--- a/packages/wire/src/note.pb-c.c
+++ b/packages/wire/src/note.pb-c.c
@@ -431,7 +431,7 @@
   (ProtobufCMessageInit) cs__group_silent__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cs__broken__field_descriptors[3] =
+static const ProtobufCFieldDescriptor cs__broken__field_descriptors[6] =
 {
   {
     "back_end",
@@ -469,16 +469,55 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "parts",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Cs__Broken, n_parts),
+    offsetof(Cs__Broken, parts),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "weak_parts",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Cs__Broken, n_weak_parts),
+    offsetof(Cs__Broken, weak_parts),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "at",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Broken, at),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cs__broken__field_indices_by_name[] = {
+  5,   /* field[5] = at */
   0,   /* field[0] = back_end */
   1,   /* field[1] = born */
   2,   /* field[2] = contents */
+  3,   /* field[3] = parts */
+  4,   /* field[4] = weak_parts */
 };
 static const ProtobufCIntRange cs__broken__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor cs__broken__descriptor =
 {
@@ -488,26 +527,30 @@
   "Cs__Broken",
   "cs",
   sizeof(Cs__Broken),
-  3,
+  6,
   cs__broken__field_descriptors,
   cs__broken__field_indices_by_name,
   1,  cs__broken__number_ranges,
   (ProtobufCMessageInit) cs__broken__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCEnumValue cs__content_verdict__kind__enum_values_by_number[4] =
+static const ProtobufCEnumValue cs__content_verdict__kind__enum_values_by_number[6] =
 {
   { "NOTHING", "CS__CONTENT_VERDICT__KIND__NOTHING", 0 },
   { "SUSPECTED", "CS__CONTENT_VERDICT__KIND__SUSPECTED", 1 },
   { "CONDEMNED", "CS__CONTENT_VERDICT__KIND__CONDEMNED", 2 },
   { "WORKS", "CS__CONTENT_VERDICT__KIND__WORKS", 3 },
+  { "KEEP", "CS__CONTENT_VERDICT__KIND__KEEP", 4 },
+  { "CLAIM", "CS__CONTENT_VERDICT__KIND__CLAIM", 5 },
 };
 static const ProtobufCIntRange cs__content_verdict__kind__value_ranges[] = {
-{0, 0},{0, 4}
+{0, 0},{0, 6}
 };
-static const ProtobufCEnumValueIndex cs__content_verdict__kind__enum_values_by_name[4] =
+static const ProtobufCEnumValueIndex cs__content_verdict__kind__enum_values_by_name[6] =
 {
+  { "CLAIM", 5 },
   { "CONDEMNED", 2 },
+  { "KEEP", 4 },
   { "NOTHING", 0 },
   { "SUSPECTED", 1 },
   { "WORKS", 3 },
@@ -519,15 +562,15 @@
   "Kind",
   "Cs__ContentVerdict__Kind",
   "cs",
-  4,
+  6,
   cs__content_verdict__kind__enum_values_by_number,
-  4,
+  6,
   cs__content_verdict__kind__enum_values_by_name,
   1,
   cs__content_verdict__kind__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCFieldDescriptor cs__content_verdict__field_descriptors[2] =
+static const ProtobufCFieldDescriptor cs__content_verdict__field_descriptors[4] =
 {
   {
     "content",
@@ -553,15 +596,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "is_part",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cs__ContentVerdict, is_part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "since",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cs__ContentVerdict, since),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cs__content_verdict__field_indices_by_name[] = {
   0,   /* field[0] = content */
+  2,   /* field[2] = is_part */
   1,   /* field[1] = kind */
+  3,   /* field[3] = since */
 };
 static const ProtobufCIntRange cs__content_verdict__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor cs__content_verdict__descriptor =
 {
@@ -571,7 +640,7 @@
   "Cs__ContentVerdict",
   "cs",
   sizeof(Cs__ContentVerdict),
-  2,
+  4,
   cs__content_verdict__field_descriptors,
   cs__content_verdict__field_indices_by_name,
   1,  cs__content_verdict__number_ranges,
