--- a/packages/decide/include/cs/suspects.h
+++ b/packages/decide/include/cs/suspects.h
@@ -21,7 +21,7 @@
 	uint32_t failures;    /* consecutive failures */
 	int64_t until_ms;     /* end of the suspicion; 0: none */
 	int64_t answered_ms;  /* last answer; 0: unknown */
-	int64_t failed_ms;    /* last failure; 0: none */
+	int64_t broken_ms;    /* when a connection last broke, or could not be made; 0: none did */
 	UT_hash_handle hh;
 } cs_suspect_t;
 
@@ -36,9 +36,11 @@
 				 uint64_t incarnation);
 /* Records that the back end answered a request or sent part of an answer; ends its suspicion. */
 void cs_suspects_record_answer (cs_suspects_t *s, int64_t now_ms, const char *id);
-/* Returns the time of the last answer, or failure; 0: none is known. */
+/* Records that a connection to the back end broke, or could not be made. */
+void cs_suspects_record_break (cs_suspects_t *s, int64_t now_ms, const char *id);
+/* Return the time of the last answer, and of the last break; 0: none is known. */
 int64_t cs_suspects_answered_ms (const cs_suspects_t *s, const char *id);
-int64_t cs_suspects_failed_ms (const cs_suspects_t *s, const char *id);
+int64_t cs_suspects_broken_ms (const cs_suspects_t *s, const char *id);
 /* True if this incarnation of the back end is a suspect. */
 bool cs_suspects_has (const cs_suspects_t *s, int64_t now_ms, const char *id, uint64_t incarnation);
 /* Stores the ids of up to max suspects in out and returns their number. The ids stay owned by s. */
--- a/packages/decide/include/cs/unproven_answers.h
+++ b/packages/decide/include/cs/unproven_answers.h
@@ -1,6 +1,6 @@
 /* Answers that ended with their connection, without a length or chunks: the back end may have ended
  * them, or may have crashed. A later answer of the same incarnation proves that they were whole; a
- * failure before it, or an incarnation that is listed no more, that they broke.
+ * broken connection before it, or an incarnation that is listed no more, that they broke.
  *
  * Expected load: services all of whose answers end so, some ten a second at each daemon. */
 #ifndef CS_UNPROVEN_ANSWERS_H
@@ -37,7 +37,7 @@
 /* What is known of the back end now. */
 typedef struct {
 	int64_t answered_ms; /* last answer */
-	int64_t failed_ms;   /* last failure */
+	int64_t broken_ms;   /* last break of a connection */
 	bool is_listed;
 } cs_unproven_evidence_t;
 
--- a/packages/decide/src/crash_parts.c
+++ b/packages/decide/src/crash_parts.c
@@ -1,4 +1,5 @@
-/* Which parts of prompts are to blame for ends of back ends. */
+/* Which parts of prompts are to blame for ends of back ends. A judgement has a number: the parts
+ * that it suspects and the ends that they explain bear it. */
 #include <stdlib.h>
 
 #include "crash_impl.h"
@@ -16,6 +17,7 @@
 	return end->judgement && end->judgement != x->judgement;
 }
 
+/* True if the break counts for x. confirmed: only if the list shows the end. */
 static bool
 break_counts (const cs_crash_counts_t *c, int64_t now_ms, const cs_crash_cause_t *x, size_t i,
 	      bool confirmed)
@@ -38,8 +40,8 @@
 	return apart_ms < MOMENT_MS && !(c->disabled & CS_CRASH_NO_MOMENTS);
 }
 
-/* Adds a moment to others, which are in the order of their times, unless it or its content is among
- * them. */
+/* Adds a moment to n others, which are in the order of their times, unless one of them has its time
+ * or its content. Returns their number. */
 static size_t
 add_moment (const cs_crash_counts_t *c, moment_t *moments, size_t n, const moment_t *m)
 {
@@ -300,6 +302,9 @@
 	return true;
 }
 
+/* x may only have been beside y if it was always in the same requests; or beside parts that have
+ * met some of its ends each, and all together. Parts that have met the same ends are both refused
+ * once these are CS_CRASH_MAX_MOMENTS. */
 bool
 cs_crash_is_tied (const cs_crash_counts_t *c, int64_t now_ms, const cs_crash_cause_t *x)
 {
--- a/packages/decide/src/suspects.c
+++ b/packages/decide/src/suspects.c
@@ -60,7 +60,6 @@
 	if (e->incarnation != incarnation)
 		e->failures = 0;
 	e->incarnation = incarnation;
-	e->failed_ms = now_ms;
 	if (e->failures && now_ms < e->until_ms)
 		return false;
 	uint32_t doublings = e->failures < MAX_DOUBLINGS ? e->failures : MAX_DOUBLINGS;
@@ -87,11 +86,17 @@
 	return e ? e->answered_ms : 0;
 }
 
+void
+cs_suspects_record_break (cs_suspects_t *s, int64_t now_ms, const char *id)
+{
+	find_or_add_entry (s, id)->broken_ms = now_ms;
+}
+
 int64_t
-cs_suspects_failed_ms (const cs_suspects_t *s, const char *id)
+cs_suspects_broken_ms (const cs_suspects_t *s, const char *id)
 {
 	const cs_suspect_t *e = find_entry (s, id);
-	return e ? e->failed_ms : 0;
+	return e ? e->broken_ms : 0;
 }
 
 bool
@@ -117,7 +122,8 @@
 	cs_suspect_t *e, *next;
 	HASH_ITER (hh, s->entries, e, next) {
 		if (now_ms - e->until_ms > CS_SUSPECT_FORGET_MS &&
-		    now_ms - e->answered_ms > CS_SUSPECT_FORGET_MS)
+		    now_ms - e->answered_ms > CS_SUSPECT_FORGET_MS &&
+		    now_ms - e->broken_ms > CS_SUSPECT_FORGET_MS)
 			remove_entry (s, e);
 	}
 }
--- a/packages/decide/src/unproven_answers.c
+++ b/packages/decide/src/unproven_answers.c
@@ -14,7 +14,7 @@
 {
 	if (e->answered_ms > ended_ms)
 		return CS_UNPROVEN_WHOLE;
-	if (e->failed_ms >= ended_ms - ALMOST_ONCE_MS || !e->is_listed)
+	if (e->broken_ms >= ended_ms - ALMOST_ONCE_MS || !e->is_listed)
 		return CS_UNPROVEN_BROKEN;
 	return CS_UNPROVEN_UNKNOWN;
 }
--- a/packages/forward/src/attempt_end.c
+++ b/packages/forward/src/attempt_end.c
@@ -57,6 +57,8 @@
 	if (s->events > 1)
 		result.token_gap_us = (s->last_us - s->first_us) / (s->events - 1);
 	cs_router_end_attempt (&f->router, now, s->backend_id, &result);
+	if (a->end == CS_ATTEMPT_NOT_SENT || (a->end == CS_ATTEMPT_BROKEN && !s->malformed))
+		cs_suspects_record_break (&f->suspects, now, s->backend_id);
 	if (answered && cs_outcome_run (a) == CS_RUN_YES)
 		cs_suspects_record_answer (&f->suspects, now, s->backend_id);
 	else if (!s->call->abandoned && !s->is_blameless && a->end != CS_ATTEMPT_TIMEOUT)
--- a/packages/forward/src/crashes.c
+++ b/packages/forward/src/crashes.c
@@ -316,7 +316,7 @@
 	for (size_t i = u->n; i--;) {
 		const cs_unproven_answer_t *a = &u->items[i];
 		const cs_unproven_evidence_t e = {answered_ms (f, a->back_end),
-						  cs_suspects_failed_ms (&f->suspects, a->back_end),
+						  cs_suspects_broken_ms (&f->suspects, a->back_end),
 						  is_listed (f, a->back_end, a->born)};
 		const cs_crash_break_t b = {a->back_end, a->born, a->ended_ms, a->keys[0].id, true};
 		cs_unproven_t is = cs_unproven_decide (a->ended_ms, &e);
