crash_counts: a verdict is told although the store was read to suspect it; tries keep their distance

A daemon that had condemned it read, before it told that, that the store keeps it as suspected, and took it for told: nobody tried it. The row of decide/test_crash_counts fails on the code before. crashing_part_of_streams failed in the same run: a part was tried again 6 s behind the first try, as a suspicion that began anew set the time of the next one.

--- a/packages/decide/src/crash_counts.c
+++ b/packages/decide/src/crash_counts.c
@@ -468,6 +468,7 @@
 cs_crash_counts_refuse (cs_crash_counts_t *c, int64_t now_ms, cs_crash_key_t key, int64_t until_ms)
 {
 	cs_crash_cause_t *x = find_or_add_cause (c, now_ms, key, true);
+	bool is_suspicion = until_ms <= now_ms + CS_CRASH_SUSPECTED_MS;
 	if (until_ms > now_ms + CS_CRASH_REFUSED_MS)
 		until_ms = now_ms + CS_CRASH_REFUSED_MS;
 	if (has_answer (c, now_ms, key, kept_since_ms (now_ms, until_ms))) {
@@ -480,7 +481,10 @@
 		until_ms = take_over_part (now_ms, x, until_ms);
 	if (until_ms > x->refused_until_ms)
 		x->refused_until_ms = until_ms;
-	x->asked = x->told = x->kept = true;
+	x->asked = true;
+	if (x->is_condemned && !x->told && is_suspicion)
+		return; /* its own verdict is still to be told */
+	x->told = x->kept = true;
 }
 
 /* Until when the cause by itself is refused; 0: it is not. */
--- a/packages/decide/src/crash_parts.c
+++ b/packages/decide/src/crash_parts.c
@@ -224,7 +224,7 @@
 		x->since_ms = cs_crash_weigh (c, now_ms, x, false).since_ms;
 	if (x->judgement && !x->suspected_ms) {
 		x->suspected_ms = now_ms;
-		if (!is_refused)
+		if (!is_refused && !x->tries)
 			x->try_from_ms = now_ms + FIRST_TRY_MS;
 	}
 	if (x->judgement)
