--- a/packages/decide/src/crash_counts.c
+++ b/packages/decide/src/crash_counts.c
@@ -539,15 +539,16 @@
 	return n;
 }
 
-/* A part that has crashed a back end in its first try, too, is tried again only on weak evidence.
- */
+/* On strong evidence a part is tried once, and late. */
 static bool
 may_be_tried (const cs_crash_counts_t *c, int64_t now_ms, const cs_crash_cause_t *x)
 {
 	if (!x->key.is_part || x->wants_try || now_ms < x->try_from_ms ||
 	    x->tries + count_late_ends (x) >= CS_CRASH_MAX_TRIES)
 		return false;
-	return !x->tries || cs_crash_weigh (c, now_ms, x, false).moments < CS_CRASH_MAX_MOMENTS;
+	if (cs_crash_weigh (c, now_ms, x, false).moments < CS_CRASH_MAX_MOMENTS)
+		return true;
+	return !x->tries && now_ms >= x->suspected_ms + TRY_AGAIN_MS;
 }
 
 /* True if another part of the request may be to blame for what the refused ones are. */
