--- a/packages/decide/src/notices.c
+++ b/packages/decide/src/notices.c
@@ -5,15 +5,20 @@
 void
 cs_notices_init (cs_notices_t *n)
 {
-	n->refilled_ms = 0;
-	n->tokens = CS_NOTICES_BURST;
+	*n = (cs_notices_t){CS_NOTICES_BURST, CS_NOTICES_PER_S, 0, CS_NOTICES_BURST};
+}
+
+void
+cs_notices_init_breaks (cs_notices_t *n)
+{
+	*n = (cs_notices_t){CS_NOTICES_BREAK_BURST, CS_NOTICES_BREAKS_PER_S, 0,
+			    CS_NOTICES_BREAK_BURST};
 }
 
 bool
 cs_notices_try_acquire (cs_notices_t *n, int64_t now_ms, bool store_unreachable)
 {
-	n->tokens = cs_bucket_refill (n->tokens, CS_NOTICES_PER_S, now_ms - n->refilled_ms,
-				      CS_NOTICES_BURST);
+	n->tokens = cs_bucket_refill (n->tokens, n->per_s, now_ms - n->refilled_ms, n->burst);
 	n->refilled_ms = now_ms;
 	if (store_unreachable || n->tokens < 1)
 		return false;
--- a/packages/forward/src/notes.c
+++ b/packages/forward/src/notes.c
@@ -255,7 +255,7 @@
 void
 cs_notes_init (cs_forward_t *f)
 {
-	cs_notices_init (&f->broken_notices);
+	cs_notices_init_breaks (&f->broken_notices);
 	ev_init (&f->broken_timer, on_broken_timer);
 	f->broken_timer.data = f;
 }
