crash_parts: breaks of one body with other prompts count each, once the body was answered

Change: breaks of a content count once only while it has no answer begun since the first of them. Ruled out: the prompt in the content's hash. A caller that repeats a content that crashes back ends may send it with other prompts.

decide/test_crash_parts, "one body with other prompts": failed before.

--- a/packages/decide/src/crash_counts.c
+++ b/packages/decide/src/crash_counts.c
@@ -127,9 +127,9 @@
 	return a->key.id == key.id && a->key.is_part == key.is_part;
 }
 
-/* True if a run that began then or later was answered. */
-static bool
-has_answer (const cs_crash_counts_t *c, int64_t now_ms, cs_crash_key_t key, int64_t since_ms)
+bool
+cs_crash_has_answer (const cs_crash_counts_t *c, int64_t now_ms, cs_crash_key_t key,
+		     int64_t since_ms)
 {
 	const cs_crash_answer_t *a = answer_slot (c, key);
 	return a->answered_ms && is_key (a, key) && now_ms - a->answered_ms < CS_CRASH_WINDOW_MS &&
@@ -148,7 +148,7 @@
 		return true;
 	int64_t began_ms = a->answered_ms > a->written_ms ? a->answered_ms : a->written_ms;
 	if (key.is_part)
-		out->is_strong &= !has_answer (c, now_ms, key, 0);
+		out->is_strong &= !cs_crash_has_answer (c, now_ms, key, 0);
 	return !began_ms || now_ms - began_ms >= ANSWER_GUARD_MS;
 }
 
@@ -396,7 +396,7 @@
 {
 	cs_crash_cause_t *x = find_or_add_cause (c, now_ms, news->key, true);
 	x->asked = true;
-	if (has_answer (c, now_ms, news->key, news->since_ms)) {
+	if (cs_crash_has_answer (c, now_ms, news->key, news->since_ms)) {
 		x->owes_objection = true;
 		return;
 	}
@@ -471,7 +471,7 @@
 	bool is_suspicion = until_ms <= now_ms + CS_CRASH_SUSPECTED_MS;
 	if (until_ms > now_ms + CS_CRASH_REFUSED_MS)
 		until_ms = now_ms + CS_CRASH_REFUSED_MS;
-	if (has_answer (c, now_ms, key, kept_since_ms (now_ms, until_ms))) {
+	if (cs_crash_has_answer (c, now_ms, key, kept_since_ms (now_ms, until_ms))) {
 		x->owes_objection = true; /* a store that went back keeps it again */
 		return;
 	}
--- a/packages/decide/src/crash_impl.h
+++ b/packages/decide/src/crash_impl.h
@@ -62,6 +62,9 @@
 	int64_t since_ms; /* the last CS_CRASH_LIMIT moments begin */
 } cs_crash_weight_t;
 
+/* True if a run that began then or later was answered. */
+bool cs_crash_has_answer (const cs_crash_counts_t *c, int64_t now_ms, cs_crash_key_t key,
+			  int64_t since_ms);
 /* True if the back end may have ended under its requests. */
 bool cs_crash_end_counts (const cs_crash_counts_t *c, int64_t now_ms, const cs_crash_end_t *end);
 /* Breaks of a content that count. */
--- a/packages/decide/src/crash_parts.c
+++ b/packages/decide/src/crash_parts.c
@@ -40,14 +40,25 @@
 	return apart_ms < MOMENT_MS && !(c->disabled & CS_CRASH_NO_MOMENTS);
 }
 
+/* True if the content itself may be to blame for both: it was not answered since the first of them,
+ * with another prompt perhaps. */
+static bool
+is_same_content (const cs_crash_counts_t *c, int64_t now_ms, const moment_t *a, const moment_t *b)
+{
+	const cs_crash_key_t content = {a->content, false};
+	int64_t first_ms = a->at_ms < b->at_ms ? a->at_ms : b->at_ms;
+	return a->content == b->content && !cs_crash_has_answer (c, now_ms, content, first_ms);
+}
+
 /* Adds a moment to n others, which are in the order of their times, unless one of them has its time
  * or its content. Returns their number. */
 static size_t
-add_moment (const cs_crash_counts_t *c, moment_t *moments, size_t n, const moment_t *m)
+add_moment (const cs_crash_counts_t *c, int64_t now_ms, moment_t *moments, size_t n,
+	    const moment_t *m)
 {
 	size_t i = n;
 	for (size_t k = 0; k < n; k++)
-		if (moments[k].content == m->content ||
+		if (is_same_content (c, now_ms, &moments[k], m) ||
 		    is_same_moment (c, moments[k].at_ms, m->at_ms)) {
 			moments[k].is_strong |= m->is_strong;
 			return n;
@@ -69,7 +80,7 @@
 		const cs_crash_break_record_t *b = &x->breaks[i];
 		const moment_t m = {b->end->at_ms, b->content, b->is_strong};
 		if (break_counts (c, now_ms, x, i, confirmed))
-			n = add_moment (c, moments, n, &m);
+			n = add_moment (c, now_ms, moments, n, &m);
 	}
 	for (size_t i = 0; i < n; i++)
 		w.strong += moments[i].is_strong;
@@ -266,7 +277,7 @@
 		const cs_crash_break_record_t *b = &y->breaks[i];
 		const moment_t m = {b->end->at_ms, b->content, b->is_strong};
 		if (cs_crash_end_counts (c, now_ms, b->end))
-			n = add_moment (c, moments, n, &m);
+			n = add_moment (c, now_ms, moments, n, &m);
 	}
 	return n > 1;
 }
