formation: a head that has started anew under its id is closed, and joins again

Such a head reports no membership; the planner's probe told "moved", which counted neither as closed nor as ended, so that it probed every 200 ms for good and the head never joined a group again. One head is lost in this way whenever it starts again under its id; with the last one the model isn't served.

Change: a probed head that is in no open group, or in another one that is not open, counts as closed, as one of this group that is not open does. Late orders are met as before: it joins only while its number of orders is the one that was probed.

--- a/packages/decide/src/formation.c
+++ b/packages/decide/src/formation.c
@@ -403,8 +403,9 @@
 		g->has_left[i] = result != CS_PROBE_MEMBER;
 	if (result == CS_PROBE_ENDED || g->silent_probes[i] >= CS_FORMATION_SILENT_PROBES)
 		mark_down (f, now_ms, id);
-	bool closed = result == CS_PROBE_MEMBER && state != CS_MEMBERSHIP_OPEN &&
-		      state != CS_MEMBERSHIP_CLOSING;
+	/* A head that has started anew under its id knows nothing of the group. */
+	bool closed = (result == CS_PROBE_MEMBER || result == CS_PROBE_MOVED) &&
+		      state != CS_MEMBERSHIP_OPEN && state != CS_MEMBERSHIP_CLOSING;
 	if (i == 0)
 		record_head_state (g, now_ms, closed, sequence);
 	if (i == 0 && g->head_unlisted_ms)
--- a/packages/decide/tests/invariant_formation.c
+++ b/packages/decide/tests/invariant_formation.c
@@ -243,6 +243,10 @@
 			    w->now_ms - w->servers[i].heartbeat_ms > (int64_t)2 * EXPIRE_MS)
 				w->servers[i].exists = false;
 		break;
+	case 11:
+		if (s->exists)
+			support_orders_start_anew (w, s);
+		break;
 	default:
 		break;
 	}
--- a/packages/decide/tests/support_orders.c
+++ b/packages/decide/tests/support_orders.c
@@ -53,6 +53,18 @@
 	}
 }
 
+void
+support_orders_start_anew (const support_orders_t *w, support_server_t *s)
+{
+	support_server_t fresh = {.exists = true, .alive = true, .born = (uint64_t)w->now_ms};
+	fresh.store_unreachable = s->store_unreachable;
+	fresh.planner_unreachable = s->planner_unreachable;
+	fresh.heartbeat_ms = s->heartbeat_ms;
+	snprintf (fresh.id, sizeof fresh.id, "%s", s->id);
+	snprintf (fresh.domain, sizeof fresh.domain, "%s", s->domain);
+	*s = fresh;
+}
+
 static void
 record_violation (support_orders_t *w, const char *rule, const support_server_t *s, uint64_t epoch)
 {
--- a/packages/decide/tests/support_orders.h
+++ b/packages/decide/tests/support_orders.h
@@ -77,6 +77,8 @@
 support_server_t *support_orders_find (support_orders_t *w, const char *id);
 /* Adds a back end without weights to the domain. */
 void support_orders_add (support_orders_t *w, int domain);
+/* The back end starts anew under its id, and knows nothing of before. */
+void support_orders_start_anew (const support_orders_t *w, support_server_t *s);
 /* Sends the action's order, which is late or lost with a probability of late_percent. Returns true
  * if its answer arrives, and sets *accepted if the order was delivered at once. */
 bool support_orders_send (support_orders_t *w, const cs_form_action_t *a, int late_percent,
--- a/packages/decide/tests/test_formation.c
+++ b/packages/decide/tests/test_formation.c
@@ -386,35 +386,45 @@
 }
 
 /* The head of an older group that may be open is moved only as it was probed, and the other members
- * of that group join after it, whatever their ranks in the new group. */
+ * of that group join after it, whatever their ranks in the new group. One that has started anew
+ * under its id knows nothing of the group. */
 static void
 test_older_head_moves_first (void **state)
 {
 	static const char *const orders[][2] = {{"a", "b"}, {"b", "a"}};
-	static const entry_t closed[] = {
-		{"a", "small", "small", "g", 5, 0, CS_MEMBERSHIP_READY, false},
-		{"b", "small", "small", "g", 5, 1, CS_MEMBERSHIP_READY, false},
-		{NULL}};
+	static const struct {
+		entry_t head;
+		cs_probe_t probed;
+	} heads[] = {
+		{{"a", "small", "small", "g", 5, 0, CS_MEMBERSHIP_READY, false}, CS_PROBE_MEMBER},
+		{{.id = "a"}, CS_PROBE_MOVED},
+	};
 	static const entry_t moved[] = {
 		{"a", "small", "small", "h", 9, 0, CS_MEMBERSHIP_JOINING, false}, {NULL}};
 	enum {
 		SEQUENCE = 3
 	};
 	(void)state;
-	for (size_t i = 0; i < CS_ARRAY_LEN (orders); i++) {
+	for (size_t i = 0; i < CS_ARRAY_LEN (orders) * CS_ARRAY_LEN (heads); i++) {
+		const entry_t *head = &heads[i / 2].head;
+		const entry_t closed[] = {
+			*head,
+			{"b", "small", "small", "g", 5, 1, CS_MEMBERSHIP_READY, false},
+			{NULL}};
 		plan_t p;
 		init (&p, 0);
 		cs_formation_start (&p.formation, START_MS, 0);
 		/* An open order of an earlier planner may be in flight. */
 		cs_formation_apply (&p.formation, LATER_MS, 5, "g", "llm", "small", pair, 2);
 		cs_formation_caught_up (&p.formation);
-		cs_formation_apply (&p.formation, LATER_MS, 9, "h", "llm", "small", orders[i], 2);
+		cs_formation_apply (&p.formation, LATER_MS, 9, "h", "llm", "small", orders[i % 2],
+				    2);
 		set_entries (&p, LATER_MS, closed);
 		for (int t = 0; t <= CS_FORMATION_OPENING_MS; t += CS_FORMATION_OPENING_MS) {
 			plan (&p, LATER_MS + t);
 			assert_int_equal (count_actions (&p, CS_FORM_JOIN), 0);
 			cs_formation_record_probe (&p.formation, LATER_MS + t, 5, "a",
-						   CS_PROBE_MEMBER, CS_MEMBERSHIP_READY, SEQUENCE);
+						   heads[i / 2].probed, head->state, SEQUENCE);
 		}
 		plan (&p, LATER_MS + CS_FORMATION_OPENING_MS + 200);
 		const cs_form_action_t *join = find_join (&p);
