crash_counts: a try that no back end ran is given back

The daemon whose verdict stood first let one request through; its connection was refused, and the try was spent on what no back end had run.

Change: an attempt that was not run, or was turned away, gives the try back to its content, and to its parts while the claim holds. Log line cause_not_tried.

decide/test_crash_counts, "the request that tries is not run": refused for good without it (run with the giving back taken out).

--- a/packages/decide/include/cs/crash_counts.h
+++ b/packages/decide/include/cs/crash_counts.h
@@ -148,6 +148,10 @@
 			   bool own);
 /* Records that a request with these causes is sent. True if it is the one that tries one. */
 bool cs_crash_counts_sent (cs_crash_counts_t *c, const cs_crash_key_t *keys, size_t n);
+/* Records that a request that tried them was not run: it proved nothing, and another one may try.
+ */
+void cs_crash_counts_not_run (cs_crash_counts_t *c, int64_t now_ms, const cs_crash_key_t *keys,
+			      size_t n);
 /* Refuses the cause until until_ms, as it was kept. */
 void cs_crash_counts_refuse (cs_crash_counts_t *c, int64_t now_ms, cs_crash_key_t key,
 			     int64_t until_ms);
--- a/packages/decide/src/crash_counts.c
+++ b/packages/decide/src/crash_counts.c
@@ -317,7 +317,7 @@
 	x->suspected_ms = 0;
 	c->is_judged = false;
 	x->refused_until_ms = x->since_ms = x->keep_from_ms = 0;
-	x->is_condemned = x->wants_try = x->may_try = false;
+	x->is_condemned = x->wants_try = x->may_try = x->is_tried = false;
 	x->tries = 0;
 	return true;
 }
@@ -436,11 +436,24 @@
 		if (!x || !x->may_try)
 			continue;
 		x->may_try = false;
+		x->is_tried = true;
 		tries = true;
 	}
 	return tries;
 }
 
+void
+cs_crash_counts_not_run (cs_crash_counts_t *c, int64_t now_ms, const cs_crash_key_t *keys, size_t n)
+{
+	for (size_t i = 0; i < n; i++) {
+		cs_crash_cause_t *x = find_cause (c, keys[i]);
+		if (!x || !x->is_tried)
+			continue;
+		x->is_tried = false;
+		x->may_try = !x->key.is_part || now_ms < x->try_until_ms;
+	}
+}
+
 /* What is kept does not say when its evidence began; it was suspected or condemned at the end of
  * it. */
 static int64_t
--- a/packages/decide/src/crash_impl.h
+++ b/packages/decide/src/crash_impl.h
@@ -42,6 +42,7 @@
 	bool owes_objection; /* another daemon suspects it, and this one has had an answer */
 	bool has_first;      /* a verdict was read; the first one chooses who tries once more */
 	bool may_try;        /* one more request of it may be sent */
+	bool is_tried;       /* that request was sent */
 	/* Of parts. */
 	bool is_witnessed;    /* this daemon saw a break of it */
 	uint64_t judgement;   /* by which it is suspected; 0: it is not */
--- a/packages/decide/tests/test_crash_counts.c
+++ b/packages/decide/tests/test_crash_counts.c
@@ -290,6 +290,8 @@
 	{"its own verdict is read twice", "orRoR", ""},
 	{"the request that tries breaks", "orbR", ""},
 	{"the request that tries is answered", "orar", "w"},
+	{"the request that tries is not run", "ornrar", "w"},
+	{"a request that was sent before is not run", "cRnR", ""},
 	{"a request is answered that was sent before", "cRar", "w"},
 	{"condemned once more after a trial that broke", "orbcR", ""},
 	{"kept by a store that went back, answered before", "akr", "w"},
@@ -314,6 +316,9 @@
 	case 'k':
 		cs_crash_counts_refuse (c, now, key_7, CONDEMNED_MS + CS_CRASH_REFUSED_MS);
 		break;
+	case 'n':
+		cs_crash_counts_not_run (c, now, &key_7, 1);
+		break;
 	case 'r':
 	case 'R':
 		assert_int_equal (is_refused (c, now), step == 'R');
--- a/packages/forward/src/attempt_end.c
+++ b/packages/forward/src/attempt_end.c
@@ -67,6 +67,8 @@
 		cs_crashes_record_answer (s);
 	else if (a->end == CS_ATTEMPT_BROKEN && !s->malformed && !s->call->abandoned)
 		cs_crashes_record_break (s);
+	else if (cs_outcome_run (a) == CS_RUN_NO)
+		cs_crashes_record_not_run (s->call);
 	if (a->end == CS_ATTEMPT_SILENT && !s->first_us)
 		cs_answer_timeout_record_timeout (&f->answer_timeout, now, s->service);
 }
--- a/packages/forward/src/crashes.c
+++ b/packages/forward/src/crashes.c
@@ -180,10 +180,11 @@
 }
 
 void
-cs_crashes_record_send (const cs_call_t *c)
+cs_crashes_record_send (cs_call_t *c)
 {
 	cs_buf_t parts = {0};
-	if (!cs_crash_counts_sent (&c->forward->crashes, c->causes, c->n_causes))
+	c->is_try = cs_crash_counts_sent (&c->forward->crashes, c->causes, c->n_causes);
+	if (!c->is_try)
 		return;
 	format_parts (c->causes, c->n_causes, &parts);
 	cs_log_event ("forward", "cause_tried", "id=%.*s content=%016" PRIx64 " parts=%s",
@@ -191,6 +192,17 @@
 	cs_buf_finish (&parts);
 }
 
+void
+cs_crashes_record_not_run (cs_call_t *c)
+{
+	if (!c->is_try)
+		return;
+	c->is_try = false;
+	cs_crash_counts_not_run (&c->forward->crashes, cs_now_ms (), c->causes, c->n_causes);
+	cs_log_event ("forward", "cause_not_tried", "id=%.*s content=%016" PRIx64,
+		      CS_STR_ARG (cs_call_id (c)), c->content);
+}
+
 static bool
 has_claimed (const cs_call_t *c)
 {
--- a/packages/forward/src/forward.h
+++ b/packages/forward/src/forward.h
@@ -170,6 +170,7 @@
 	cs_crash_key_t *causes;
 	size_t n_causes;
 	int64_t claim_until_ms; /* it waits for a claim to try its parts; 0: it never did */
+	bool is_try;            /* its attempt tries causes that are refused */
 	uint32_t runs;          /* attempts that ran or may have run */
 	uint32_t tries;
 	uint32_t n_broken; /* attempts whose connection broke */
@@ -299,7 +300,9 @@
 void cs_crashes_record_answer (const cs_backend_request_t *s);
 /* Records an event of a stream. */
 void cs_crashes_record_event (cs_backend_request_t *s);
-void cs_crashes_record_send (const cs_call_t *c);
+void cs_crashes_record_send (cs_call_t *c);
+/* Records that no back end ran its attempt. */
+void cs_crashes_record_not_run (cs_call_t *c);
 bool cs_crashes_is_refused (const cs_call_t *c, uint32_t *retry_after_ms);
 /* Logs which cause the request is refused for. */
 void cs_crashes_log_refusal (const cs_call_t *c);
