forward, platform: a daemon that starts reads the notes of before, for the ends in them

Cause: ends of back ends are held by the daemons alone until a suspicion is kept in the store.

Change: the notes are read from 400 records before their end, once, from the store. Ends not older than a minute and what cleared causes are taken; silent heads, questions, verdicts (kept apart) and claims (over by then) are not. No end counts as shown by the list before the list was read. Ruled out: a record in the store for each break and cause, a write for each part of 26 requests; reading from readers, which have what came since they began to read.

--- a/packages/decide/tests/invariant_crashing_part.c
+++ b/packages/decide/tests/invariant_crashing_part.c
@@ -1,7 +1,8 @@
 /* Guards against parts of prompts that crash back ends one after the other, and against refusing
  * what only ran beside them: daemons with the decisions on crashes, back ends, the store's notes
  * and callers, played in virtual time with parts at each place, restarts, lost and late notes, and
- * ends of back ends for other reasons. */
+ * ends of back ends for other reasons. --without parts, answers, moments: that mechanism is off;
+ * past: daemons that start read no notes of before. */
 #include <stdlib.h>
 #include <string.h>
 
@@ -33,6 +34,7 @@
 	MAX_LIVES = 64,
 	MAX_REQUESTS = 256,
 	MAX_NOTES = 4096,
+	PAST_NOTES = 400, /* that a daemon reads when it starts */
 	MAX_KEYS = 5,
 	MAX_KEPT = 16,
 	ATTEMPTS = 3,
@@ -109,6 +111,7 @@
 	int refused_settled;   /* sound requests, when nothing has ended for SETTLED_MS */
 } world_t;
 
+static cs_options_t options;
 static world_t *current; /* for the callbacks */
 static const char names[MAX_BACK_ENDS][2] = {"a", "b", "c", "d", "e", "f",
 					     "g", "h", "i", "j", "k", "l"};
@@ -139,6 +142,30 @@
 	return n > 0 ? (int)cs_rng_below (&w->rng, (uint32_t)n) : 0;
 }
 
+static void
+hear_break (daemon_t *d, int64_t now_ms, const note_t *n)
+{
+	cs_crash_break_t seen = n->seen;
+	seen.is_own = false;
+	cs_crash_counts_add (&d->counts, now_ms, &seen, n->blamed, n->n);
+}
+
+/* What a daemon that starts reads of the notes before. */
+static void
+read_past_notes (world_t *w, daemon_t *d)
+{
+	size_t i = w->n_notes > PAST_NOTES ? w->n_notes - PAST_NOTES : 0;
+	for (; i < w->n_notes; i++) {
+		const note_t *n = &w->notes[i];
+		if (n->at_ms < w->now_ms - CS_CRASH_WINDOW_MS)
+			continue;
+		if (n->is_break)
+			hear_break (d, w->now_ms, n);
+		else if (n->news.verdict == CS_CRASH_WORKS)
+			cs_crash_counts_hear (&d->counts, w->now_ms, &n->news, false);
+	}
+}
+
 static void
 start_daemon (world_t *w, int i)
 {
@@ -149,6 +176,8 @@
 	d->since_ms = w->now_ms;
 	d->n_read = w->n_notes;
 	d->lag_ms = 50 + below (w, w->s.note_ms - 50);
+	if (!cs_options_is_disabled (&options, "past"))
+		read_past_notes (w, d);
 	for (int k = 0; k < MAX_KEPT; k++)
 		if (w->kept[k].until_ms > w->now_ms)
 			cs_crash_counts_refuse (&d->counts, w->now_ms, w->kept[k].key,
@@ -174,14 +203,6 @@
 	w->kept[k].until_ms = until_ms;
 }
 
-static void
-hear_break (daemon_t *d, int64_t now_ms, const note_t *n)
-{
-	cs_crash_break_t seen = n->seen;
-	seen.is_own = false;
-	cs_crash_counts_add (&d->counts, now_ms, &seen, n->blamed, n->n);
-}
-
 static void
 read_notes (world_t *w, int i)
 {
@@ -476,8 +497,6 @@
 	return w->refused_settled ? "refused though nothing ends any more" : NULL;
 }
 
-static cs_options_t options;
-
 static void
 test_schedules (void **state)
 {
--- a/packages/forward/src/crashes.c
+++ b/packages/forward/src/crashes.c
@@ -39,7 +39,7 @@
 {
 	const cs_forward_t *f = data;
 	const cs_backend_t *b = cs_fleet_find (&f->fleet, back_end);
-	return b && b->born == born;
+	return !f->list_read || (b && b->born == born);
 }
 
 static const cs_crash_evidence_ops_t evidence = {answered_ms, is_listed};
--- a/packages/forward/src/forward.c
+++ b/packages/forward/src/forward.c
@@ -121,6 +121,7 @@
 	cs_forward_t *f = task->state;
 	const cs_state_msg_t *state = (const cs_state_msg_t *)m;
 	const cs_backend_said_msg_t *said = (const cs_backend_said_msg_t *)m;
+	const cs_ledger_msg_t *note = (const cs_ledger_msg_t *)m;
 	switch (m->kind) {
 	case CS_HOST_SERVING:
 		cs_serving_msg_apply ((cs_serving_msg_t *)m, &f->serving);
@@ -140,7 +141,7 @@
 		f->config_behind = state->is_true;
 		break;
 	case CS_HOST_NOTE:
-		cs_notes_receive (f, cs_buf_str (&((cs_ledger_msg_t *)m)->bytes));
+		cs_notes_receive (f, cs_buf_str (&note->bytes), note->is_past);
 		break;
 	case CS_HOST_LEAVING:
 		cs_said_leaving (f, said->id, said->born);
--- a/packages/forward/src/forward.h
+++ b/packages/forward/src/forward.h
@@ -290,7 +290,8 @@
 void cs_notes_publish_news (cs_forward_t *f, const cs_crash_news_t *news);
 void cs_notes_init (cs_forward_t *f);
 void cs_notes_finish (cs_forward_t *f);
-void cs_notes_receive (cs_forward_t *f, cs_str_t bytes);
+/* is_past: it was written before this daemon began to read. */
+void cs_notes_receive (cs_forward_t *f, cs_str_t bytes, bool is_past);
 /* crashes.c: contents and parts of prompts that crash back ends */
 void cs_crashes_init (cs_forward_t *f);
 void cs_crashes_finish (cs_forward_t *f);
--- a/packages/forward/src/notes.c
+++ b/packages/forward/src/notes.c
@@ -285,10 +285,11 @@
 	return n;
 }
 
+/* Past ones may be as old as ends count. */
 static void
-apply_broken (cs_forward_t *f, const Cs__Broken *b)
+apply_broken (cs_forward_t *f, const Cs__Broken *b, int64_t max_age_ms)
 {
-	cs_crash_break_t seen = {b->back_end, b->born, local_ms (b->at, MAX_NOTE_AGE_MS), 0, false};
+	cs_crash_break_t seen = {b->back_end, b->born, local_ms (b->at, max_age_ms), 0, false};
 	if (!b->n_contents && !b->n_parts)
 		cs_crash_counts_add (&f->crashes, cs_now_ms (), &seen, NULL, 0);
 	for (size_t i = 0; i < b->n_contents; i++) {
@@ -307,31 +308,45 @@
 }
 
 static void
-apply_verdict (cs_forward_t *f, const Cs__Note *note)
+apply_verdict (cs_forward_t *f, const Cs__Note *note, bool own)
 {
 	const Cs__ContentVerdict *v = note->verdict;
 	const cs_crash_news_t news = {{v->content, v->is_part},
 				      (cs_crash_verdict_t)v->kind,
 				      v->since ? local_ms (v->since, CS_CRASH_WINDOW_MS) : 0};
-	cs_crash_counts_hear (&f->crashes, cs_now_ms (), &news,
-			      !strcmp (note->from, f->host->name));
+	cs_crash_counts_hear (&f->crashes, cs_now_ms (), &news, own);
+}
+
+/* Of what was told before the start only the evidence still matters: verdicts are kept in the
+ * store, and claims have ended. */
+static void
+apply_past (cs_forward_t *f, const Cs__Note *note)
+{
+	if (note->body_case == CS__NOTE__BODY_BROKEN &&
+	    cs_now_ms () - local_ms (note->broken->at, CS_CRASH_WINDOW_MS) < CS_CRASH_WINDOW_MS)
+		apply_broken (f, note->broken, CS_CRASH_WINDOW_MS);
+	else if (note->body_case == CS__NOTE__BODY_VERDICT &&
+		 note->verdict->kind == CS__CONTENT_VERDICT__KIND__WORKS)
+		apply_verdict (f, note, false);
 }
 
 void
-cs_notes_receive (cs_forward_t *f, cs_str_t bytes)
+cs_notes_receive (cs_forward_t *f, cs_str_t bytes, bool is_past)
 {
 	Cs__Note *note = cs__note__unpack (NULL, bytes.n, (const uint8_t *)bytes.p);
 	if (!note) {
 		cs_log ("forward", CS_LOG_WARN, "received note is not a valid protobuf message");
 		return;
 	}
-	if (note->body_case == CS__NOTE__BODY_SILENT)
+	if (is_past)
+		apply_past (f, note);
+	else if (note->body_case == CS__NOTE__BODY_SILENT)
 		apply_silent (f, note);
 	else if (note->body_case == CS__NOTE__BODY_QUESTION)
 		probe_head (f, note->question);
 	else if (note->body_case == CS__NOTE__BODY_BROKEN)
-		apply_broken (f, note->broken);
+		apply_broken (f, note->broken, MAX_NOTE_AGE_MS);
 	else if (note->body_case == CS__NOTE__BODY_VERDICT)
-		apply_verdict (f, note);
+		apply_verdict (f, note, !strcmp (note->from, f->host->name));
 	cs__note__free_unpacked (note, NULL);
 }
--- a/packages/host/include/cs/host_messages.h
+++ b/packages/host/include/cs/host_messages.h
@@ -87,6 +87,7 @@
 	size_t n_records;
 	cs_buf_t bytes; /* LEDGER */
 	cs_status_t status;
+	bool is_past; /* NOTE: it was there before this daemon began to read */
 } cs_ledger_msg_t;
 
 /* Takes a reference to the configuration. */
