crash_counts: an end told before the start counts once the list shows it

Cause: a daemon that has just started has no answers that tell a reset of connections from an end. Read in review, not seen: amid resets it would take the breaks of the last minute as ends until each back end has answered it, and refuse sound parts meanwhile.

--- a/packages/decide/include/cs/crash_counts.h
+++ b/packages/decide/include/cs/crash_counts.h
@@ -74,7 +74,8 @@
 	uint64_t born;
 	int64_t at_ms; /* as estimated, if another daemon saw it */
 	uint64_t content;
-	bool is_own; /* this daemon saw it */
+	bool is_own;  /* this daemon saw it */
+	bool is_past; /* it was told before this daemon started: it counts once the list shows it */
 } cs_crash_break_t;
 
 /* What may have caused it. */
--- a/packages/decide/src/crash_counts.c
+++ b/packages/decide/src/crash_counts.c
@@ -168,6 +168,7 @@
 	*is_new = !end;
 	if (end) {
 		end->at_ms = b->at_ms < end->at_ms ? b->at_ms : end->at_ms;
+		end->is_past &= b->is_past;
 		return end;
 	}
 	if (c->n_ends == CS_CRASH_MAX_ENDS)
@@ -178,6 +179,7 @@
 	end->born = b->born;
 	end->at_ms = b->at_ms;
 	end->seen_ms = now_ms;
+	end->is_past = b->is_past;
 	c->ends[c->n_ends++] = end;
 	return end;
 }
@@ -233,9 +235,9 @@
 {
 	if (now_ms - end->seen_ms > CS_CRASH_WINDOW_MS)
 		return false;
-	return end->confirmed ||
-	       c->evidence->answered_ms (c->data, end->back_end) <= end->seen_ms ||
-	       has_ended (c, now_ms, end);
+	if (end->confirmed || has_ended (c, now_ms, end))
+		return true;
+	return !end->is_past && c->evidence->answered_ms (c->data, end->back_end) <= end->seen_ms;
 }
 
 /* Breaks that a part explains are no fault of a content beside it. */
--- a/packages/decide/src/crash_impl.h
+++ b/packages/decide/src/crash_impl.h
@@ -20,6 +20,7 @@
 	int64_t at_ms;   /* earliest break, as estimated */
 	int64_t seen_ms; /* when this daemon came to know it */
 	bool confirmed;
+	bool is_past;       /* as far as this daemon knows, it counts only if the list shows it */
 	uint64_t judgement; /* that explains it; 0: none */
 };
 
--- a/packages/forward/src/crashes.c
+++ b/packages/forward/src/crashes.c
@@ -121,7 +121,7 @@
 cs_crashes_record_break (const cs_backend_request_t *s)
 {
 	const cs_call_t *c = s->call;
-	const cs_crash_break_t b = {s->backend_id, s->born, cs_now_ms (), c->content, true};
+	const cs_crash_break_t b = {s->backend_id, s->born, cs_now_ms (), c->content, true, false};
 	cs_buf_t parts = {0};
 	if (!add_break (c->forward, &b, c->causes, c->n_causes, is_early (s)))
 		return;
@@ -330,7 +330,8 @@
 		const cs_unproven_evidence_t e = {answered_ms (f, a->back_end),
 						  cs_suspects_broken_ms (&f->suspects, a->back_end),
 						  is_listed (f, a->back_end, a->born)};
-		const cs_crash_break_t b = {a->back_end, a->born, a->ended_ms, a->keys[0].id, true};
+		const cs_crash_break_t b = {a->back_end,   a->born, a->ended_ms,
+					    a->keys[0].id, true,    false};
 		cs_unproven_t is = cs_unproven_decide (a->ended_ms, &e);
 		if (is == CS_UNPROVEN_WHOLE)
 			record_whole (f, cs_str ("-"), a->keys, a->n, a->began_ms);
--- a/packages/forward/src/notes.c
+++ b/packages/forward/src/notes.c
@@ -287,9 +287,13 @@
 
 /* Past ones may be as old as ends count. */
 static void
-apply_broken (cs_forward_t *f, const Cs__Broken *b, int64_t max_age_ms)
+apply_broken (cs_forward_t *f, const Cs__Broken *b, bool is_past)
 {
-	cs_crash_break_t seen = {b->back_end, b->born, local_ms (b->at, max_age_ms), 0, false};
+	int64_t max_age_ms = is_past ? CS_CRASH_WINDOW_MS : MAX_NOTE_AGE_MS;
+	cs_crash_break_t seen = {.back_end = b->back_end,
+				 .born = b->born,
+				 .at_ms = local_ms (b->at, max_age_ms),
+				 .is_past = is_past};
 	if (!b->n_contents && !b->n_parts)
 		cs_crash_counts_add (&f->crashes, cs_now_ms (), &seen, NULL, 0);
 	for (size_t i = 0; i < b->n_contents; i++) {
@@ -324,7 +328,7 @@
 {
 	if (note->body_case == CS__NOTE__BODY_BROKEN &&
 	    cs_now_ms () - local_ms (note->broken->at, CS_CRASH_WINDOW_MS) < CS_CRASH_WINDOW_MS)
-		apply_broken (f, note->broken, CS_CRASH_WINDOW_MS);
+		apply_broken (f, note->broken, true);
 	else if (note->body_case == CS__NOTE__BODY_VERDICT &&
 		 note->verdict->kind == CS__CONTENT_VERDICT__KIND__WORKS)
 		apply_verdict (f, note, false);
@@ -345,7 +349,7 @@
 	else if (note->body_case == CS__NOTE__BODY_QUESTION)
 		probe_head (f, note->question);
 	else if (note->body_case == CS__NOTE__BODY_BROKEN)
-		apply_broken (f, note->broken, MAX_NOTE_AGE_MS);
+		apply_broken (f, note->broken, false);
 	else if (note->body_case == CS__NOTE__BODY_VERDICT)
 		apply_verdict (f, note, !strcmp (note->from, f->host->name));
 	cs__note__free_unpacked (note, NULL);
