--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -4,7 +4,7 @@
 # the variable PROGRAM_arguments, if set.
 # A package without sources becomes an interface library.
 #
-# tests/without.txt lists "PROGRAM MECHANISM" pairs: the program must fail when the
+# tests/without.txt lists "PROGRAM MECHANISM [ARGUMENTS]": the program must fail when the
 # mechanism is turned off, which shows that the test can fail.
 if (NOT CS_DAEMON_ONLY)
 	add_library (cs_testing STATIC testing/cs_options.c testing/support_caller.c
@@ -51,9 +51,10 @@
 			separate_arguments (words UNIX_COMMAND "${pair}")
 			list (GET words 0 program)
 			list (GET words 1 mechanism)
+			list (REMOVE_AT words 0 1)
 			set (test ${name}/${program}--without-${mechanism})
 			add_test (NAME ${test}
-				COMMAND ${name}_${program} --without ${mechanism})
+				COMMAND ${name}_${program} --without ${mechanism} ${words})
 			set_tests_properties (${test} PROPERTIES WILL_FAIL ON TIMEOUT 120)
 		endforeach ()
 	endif ()
