--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,8 +1,8 @@
 #!/bin/sh
-# 1: the rule was broken, 0: it held, 2: the case could not run. TROUBLE=0: without the cut.
+# 1: the rule was broken, 0: it held, 2: the case could not run. TROUBLE=0: without the loss.
 cd "$(dirname "$0")/../.." || exit 2
 daemon=target/packages/daemon/cornelspindled
-standin=review/build/isolated_head
+standin=review/build/lost_domain
 [ -x "$daemon" ] && [ -x "$standin" ] || exit 2
 timeout -k 2 100 "$standin" "$PWD/$daemon" "${TROUBLE:-1}" >review/1/record.txt 2>&1
 status=$?
