forward, http: log and count repeats by service and refusals taken as proof

The lines of an attempt named neither the service whose budget a repeat is charged to, nor the connection on which a refusal came. repeat, repeat_denied and refusal_believed do; they tell a count that mixes services, a floor for each daemon, repeats that are not charged, and copies of refusals from one another. No decision changes.

--- a/packages/forward/src/admit.c
+++ b/packages/forward/src/admit.c
@@ -135,5 +135,6 @@
 					    cs_str (c->target), cs_buf_str (&c->body));
 	set_causes (c);
 	cs_retry_count_first_try (&f->retry, c->received_ms);
+	cs_service_counts_request (f, c->service);
 	cs_dispatch (c);
 }
--- a/packages/forward/src/attempt_end.c
+++ b/packages/forward/src/attempt_end.c
@@ -81,8 +81,32 @@
 	cs_retry_reason_t reason;
 	const cs_retry_attempt_t failed = {
 		.attempt = 1, .resumable = true, .deadline_ms = c->expires_ms};
-	return cs_retry_decide (&c->forward->retry, cs_now_ms (), &failed, delay_ms, &reason) !=
-	       CS_RETRY_NO;
+	bool is_granted = cs_retry_decide (&c->forward->retry, cs_now_ms (), &failed, delay_ms,
+					   &reason) != CS_RETRY_NO;
+	cs_retry_window_t w = cs_retry_window (&c->forward->retry);
+	cs_service_counts_repeat (c->forward, c->service, is_granted);
+	cs_log_event ("forward", is_granted ? "repeat" : "repeat_denied",
+		      "id=%.*s service=%s reason=%s tries=%u repeats=%llu requests=%llu "
+		      "allowed=%llu",
+		      CS_STR_ARG (cs_call_id (c)), c->service, cs_retry_reason_name (reason),
+		      c->tries, (unsigned long long)w.retries, (unsigned long long)w.firsts,
+		      (unsigned long long)w.allowed);
+	return is_granted;
+}
+
+/* The copy of an earlier refusal looks the same if this id was there before. */
+static void
+log_refusal (const cs_backend_request_t *s, const cs_attempt_t *a)
+{
+	const cs_http_sent_on_t *on = &s->http.sent_on;
+	if (a->end != CS_ATTEMPT_ANSWERED || cs_outcome_run (a) != CS_RUN_NO)
+		return;
+	cs_service_counts_refusal (s->call->forward, s->call->service, on->had_tag);
+	cs_log_event ("forward", "refusal_believed",
+		      "id=%.*s service=%s back_end=%s status=%d own=%d connection=%llu "
+		      "requests_before=%u id_before=%d",
+		      CS_STR_ARG (cs_call_id (s->call)), s->call->service, s->backend_id, a->status,
+		      a->is_own, (unsigned long long)on->connection, on->calls_before, on->had_tag);
 }
 
 void
@@ -170,6 +194,7 @@
 	record_result (s, a);
 	cs_queue_record_attempt_end (s);
 	cs_counts_attempt_ended (a);
+	log_refusal (s, a);
 	if (!c->abandoned && !c->ended) {
 		c->runs += cs_outcome_run (a) != CS_RUN_NO;
 		cs_request_state_t state = cs_call_state (c);
--- a/packages/forward/src/backend_request.c
+++ b/packages/forward/src/backend_request.c
@@ -6,6 +6,7 @@
 #include <strings.h>
 
 #include "cs/counters.h"
+#include "cs/hash.h"
 #include "cs/log.h"
 #include "cs/stream_start.h"
 #include "forward.h"
@@ -460,6 +461,7 @@
 		.idle_timeout_ms = (uint32_t)(c->expires_ms - s->sent_us / 1000) + 1,
 		.not_after_ms = c->expires_ms,
 		.ends_by_close = true,
+		.tag = cs_hash (cs_call_id (c)),
 		.on_header = on_header,
 		.on_head = on_head,
 		.on_body = on_body,
--- a/packages/forward/src/forward.h
+++ b/packages/forward/src/forward.h
@@ -30,6 +30,7 @@
 typedef struct cs_call cs_call_t;
 typedef struct cs_wait_queue cs_wait_queue_t;
 typedef struct cs_broken_note cs_broken_note_t;
+typedef struct cs_service_counts cs_service_counts_t;
 
 typedef struct {
 	cs_task_t *task;
@@ -46,6 +47,7 @@
 	bool targets_stale;    /* the fleet has changed since the router's targets were set */
 	cs_router_t router;
 	cs_retry_t retry;
+	cs_service_counts_t *service_counts; /* uthash by service */
 	cs_suspects_t suspects;
 	cs_answer_timeout_t answer_timeout;
 	cs_notices_t notices;
@@ -347,5 +349,10 @@
 /* request_metrics.c */
 void cs_counts_request_ended (const cs_call_t *c);
 void cs_counts_attempt_ended (const cs_attempt_t *result);
+/* service_counts.c: metrics by service */
+void cs_service_counts_request (cs_forward_t *f, const char *service);
+void cs_service_counts_repeat (cs_forward_t *f, const char *service, bool is_granted);
+/* id_before: the refused request had been sent on that connection before. */
+void cs_service_counts_refusal (cs_forward_t *f, const char *service, bool id_before);
 
 #endif
--- a/packages/http/include/cs/http.h
+++ b/packages/http/include/cs/http.h
@@ -20,6 +20,17 @@
 	CS_HTTP_CANCELLED
 } cs_http_end_t;
 
+/* The connection that a call was sent on. */
+typedef struct {
+	uint64_t connection;   /* counts from 1 in this client; 0: not sent */
+	uint32_t calls_before; /* on this connection */
+	bool had_tag;          /* one of the last CS_HTTP_TAGS of them had the call's tag */
+} cs_http_sent_on_t;
+
+enum {
+	CS_HTTP_TAGS = 16 /* tags that a connection remembers */
+};
+
 /* One call. The caller fills it in and keeps it allocated until on_end. */
 struct cs_http_call {
 	const char *method;
@@ -34,6 +45,7 @@
 	int64_t not_after_ms; /* the request is not sent after this cs_now_ms time; 0: no limit */
 	bool needs_new_connection; /* open a new connection instead of reusing an idle one */
 	bool ends_by_close;        /* the response may end by closing the connection */
+	uint64_t tag; /* identifies the request among those on one connection; 0: none */
 	/* All callbacks but on_end may be NULL. Order: on_header for each header line, on_head
 	 * once, on_body for each piece of the body. on_end is last; the caller may then free or
 	 * reuse the call. The status passed to on_end is 0 if no final response head came. */
@@ -46,6 +58,8 @@
 	/* Set before on_head, or before on_end of a call that was sent: an earlier call has used
 	 * the connection, so that the response may be a late one to that call. */
 	bool is_reused;
+	/* Set before the request is sent. */
+	cs_http_sent_on_t sent_on;
 	/* Set before on_end: the connection was refused (ECONNREFUSED). */
 	bool is_connection_refused;
 	/* Set before on_end: the head of the response says where its body ends. */
@@ -65,6 +79,7 @@
 	size_t running; /* length of transfers */
 	size_t cap;
 	cs_http_connection_t *connections; /* uthash by addresses */
+	uint64_t last_connection;
 	bool in_libcurl; /* a libcurl function that may invoke callbacks is on the stack */
 };
 
--- a/packages/http/src/connections.c
+++ b/packages/http/src/connections.c
@@ -18,6 +18,9 @@
 struct cs_http_connection {
 	char key[KEY_BYTES];
 	curl_socket_t fd;
+	uint64_t number;
+	uint32_t n_calls;
+	uint64_t tags[CS_HTTP_TAGS]; /* of the last calls, at index n_calls % CS_HTTP_TAGS */
 	UT_hash_handle hh;
 };
 
@@ -53,13 +56,24 @@
 	curl_easy_setopt (t->easy, CURLOPT_CLOSESOCKETDATA, t->call->http);
 }
 
-static void
+static cs_http_connection_t *
 add_connection (cs_http_t *http, const char *key, curl_socket_t fd)
 {
 	cs_http_connection_t *c = cs_alloc (sizeof *c);
 	snprintf (c->key, sizeof c->key, "%s", key);
 	c->fd = fd;
+	c->number = ++http->last_connection;
 	HASH_ADD_STR (http->connections, key, c);
+	return c;
+}
+
+static void
+record_call (cs_http_connection_t *c, cs_http_call_t *call)
+{
+	call->sent_on = (cs_http_sent_on_t){.connection = c->number, .calls_before = c->n_calls};
+	for (size_t i = 0; call->tag && i < CS_HTTP_TAGS; i++)
+		call->sent_on.had_tag |= c->tags[i] == call->tag;
+	c->tags[c->n_calls++ % CS_HTTP_TAGS] = call->tag;
 }
 
 bool
@@ -74,7 +88,7 @@
 	snprintf (key, sizeof key, "%s %d %s %d", ip, port, local_ip, local_port);
 	curl_easy_getinfo (t->easy, CURLINFO_NUM_CONNECTS, &new_connections);
 	if (new_connections) {
-		add_connection (http, key, t->new_fd);
+		record_call (add_connection (http, key, t->new_fd), t->call);
 		return false;
 	}
 	HASH_FIND_STR (http->connections, key, c);
@@ -84,5 +98,8 @@
 	if (n > 0)
 		cs_log ("http", CS_LOG_INFO, "connection to %.*s closed: bytes before the request",
 			CS_STR_ARG (t->call->url));
-	return n >= 0 || errno != EAGAIN;
+	if (n >= 0 || errno != EAGAIN)
+		return true;
+	record_call (c, t->call);
+	return false;
 }
