forward: the budget of repeats is the fleet's, for each service

Cause: a daemon counted the first tries and repeats of all services together, so that a burst at one bought repeats at another; it allowed itself ten repeats in 10 s whatever its share, so that the sum grew with the number of daemons; the slack was not read; and the window moved in whole seconds. The class: a bound on the fleet that each daemon keeps for itself, by a count that isn't the rule's.

decide/retry_budget: a daemon's share needs no knowledge of the others, and sums over daemons that come and go; the slack is claimed in the notes, in their order. A repeat that waits for its claim waits 400 ms at most.

decide/invariant_retry_budget plays 3 to 330 daemons against the rule's words.

--- a/packages/forward/src/attempt_end.c
+++ b/packages/forward/src/attempt_end.c
@@ -13,6 +13,8 @@
 	STATUS_TIMEOUT = 504,
 	RECENT_ANSWER_MS =
 		300, /* every stream of a working back end delivers several events in this time */
+	CLAIM_CHECK_MS = 50,     /* until it is looked whether a claim was granted */
+	REPEAT_JITTER_MS = 25,   /* longest delay of a repeat, so that repeats of a moment spread */
 	REFUSED_RETRY_MS = 300 /* another back end may accept the request by then */
 };
 
@@ -73,27 +75,47 @@
 		cs_answer_timeout_record_timeout (&f->answer_timeout, now, s->service);
 }
 
-/* Charges the retry budget and sets delay_ms. False if the budget is used up or too little time
- * is left. */
+/* Charges the budget of repeats and sets delay_ms. False if the budget is used up or too little time
+ * is left; c->awaits_claim is then true if a claim may allow it in a moment. */
 static bool
-acquire_retry (cs_call_t *c, int64_t *delay_ms)
+acquire_repeat (cs_call_t *c, int64_t *delay_ms)
 {
-	cs_retry_reason_t reason;
-	const cs_retry_attempt_t failed = {
-		.attempt = 1, .resumable = true, .deadline_ms = c->expires_ms};
-	bool is_granted = cs_retry_decide (&c->forward->retry, cs_now_ms (), &failed, delay_ms,
-					   &reason) != CS_RETRY_NO;
-	cs_retry_window_t w = cs_retry_window (&c->forward->retry);
-	cs_service_counts_repeat (c->forward, c->service, is_granted);
+	cs_forward_t *f = c->forward;
+	int64_t now = cs_now_ms ();
+	cs_retry_decision_t d = {0};
+	*delay_ms = cs_rng_below (&f->rng, REPEAT_JITTER_MS);
+	bool is_late = now + *delay_ms >= c->expires_ms;
+	if (!is_late)
+		d = cs_retry_budget_acquire (&f->retry_budget, c->service, now);
+	bool is_granted = d.grant != CS_RETRY_GRANT_NONE;
+	c->granted_ms = now;
+	if (!c->awaits_claim)
+		c->repeat_until_ms = now + CS_RETRY_CLAIM_MS;
+	c->awaits_claim = d.may_come && now + CLAIM_CHECK_MS < c->expires_ms &&
+			  now + CLAIM_CHECK_MS <= c->repeat_until_ms;
+	cs_notes_claim_repeats (f);
+	cs_service_counts_repeat (f, c->service, is_granted);
 	cs_log_event ("forward", is_granted ? "repeat" : "repeat_denied",
-		      "id=%.*s service=%s reason=%s tries=%u repeats=%llu requests=%llu "
-		      "allowed=%llu",
-		      CS_STR_ARG (cs_call_id (c)), c->service, cs_retry_reason_name (reason),
-		      c->tries, (unsigned long long)w.retries, (unsigned long long)w.firsts,
-		      (unsigned long long)w.allowed);
+		      "id=%.*s service=%s from=%s reason=%s tries=%u repeats=%u requests=%u "
+		      "allowed=%u slack_left=%u claimed=%u",
+		      CS_STR_ARG (cs_call_id (c)), c->service, cs_retry_grant_name (d.grant),
+		      is_late           ? "late"
+		      : is_granted      ? "allowed"
+		      : c->awaits_claim ? "claims"
+					: "budget",
+		      c->tries, d.repeats, d.requests, d.allowed, d.slack_left, d.claimed);
 	return is_granted;
 }
 
+bool
+cs_attempt_keeps_grant (cs_call_t *c)
+{
+	int64_t delay_ms;
+	if (!c->awaits_claim && cs_now_ms () - c->granted_ms <= CS_RETRY_SEND_MS)
+		return true;
+	return acquire_repeat (c, &delay_ms);
+}
+
 /* The copy of an earlier refusal looks the same if this id was there before. */
 static void
 log_refusal (const cs_backend_request_t *s, const cs_attempt_t *a)
@@ -121,7 +143,8 @@
 {
 	cs_call_t *c = s->call;
 	s->retry_granted =
-		cs_dispatch_has_other (c, s->service) && acquire_retry (c, &s->retry_delay_ms);
+		cs_dispatch_has_other (c, s->service) && acquire_repeat (c, &s->retry_delay_ms);
+	c->awaits_claim = false; /* the attempt goes on meanwhile */
 	cs_log_event ("forward", s->retry_granted ? "given_up" : "waits_on",
 		      "id=%.*s back_end=%s events=%u silent_ms=%lld", CS_STR_ARG (cs_call_id (c)),
 		      s->backend_id, s->events,
@@ -202,11 +225,15 @@
 		if ((then == CS_NEXT_RETRY || then == CS_NEXT_RESUME) && !s->retry_granted &&
 		    (cs_crashes_is_refused (c, &retry_after_ms) ||
 		     (a->end == CS_ATTEMPT_BROKEN && cs_crashes_is_doubtful (c)) ||
-		     !acquire_retry (c, &delay_ms))) {
+		     !acquire_repeat (c, &delay_ms))) {
 			state.may_repeat = false;
-			then = cs_outcome_next_step (a, &state);
+			cs_next_step_t without = cs_outcome_next_step (a, &state);
+			c->awaits_claim &= without != CS_NEXT_DELIVER;
+			then = c->awaits_claim ? then : without;
 		}
-		if (a->end == CS_ATTEMPT_BROKEN)
+		if (c->awaits_claim)
+			delay_ms = CLAIM_CHECK_MS;
+		else if (a->end == CS_ATTEMPT_BROKEN)
 			delay_ms += cs_crash_repeat_delay_ms (c->n_broken,
 							      c->expires_ms - cs_now_ms ());
 		log_attempt (s, a, then);
--- a/packages/forward/src/dispatch.c
+++ b/packages/forward/src/dispatch.c
@@ -163,6 +163,14 @@
 		return;
 	if (refuse_crashing (c))
 		return;
+	if (c->tries && !cs_attempt_keeps_grant (c)) {
+		if (c->awaits_claim)
+			cs_timer_start_after (f->task->kernel->loop, &c->retry_timer,
+					      CLAIM_CHECK_MS);
+		else
+			cs_dispatch_refuse (c, "repeats-spent", BUSY_RETRY_MS);
+		return;
+	}
 	cs_targets_refresh (f);
 	cs_buf_init (&service);
 	const cs_serving_service_t *declared = cs_serving_find_service (c->serving, c->service);
--- a/packages/forward/src/forward.c
+++ b/packages/forward/src/forward.c
@@ -8,8 +8,6 @@
 
 enum {
 	TICK_MS = 200,
-	RETRY_BUDGET_PERCENT = 90, /* of the retry ratio allowed to all daemons together; the rest
-				      is a margin, since their views differ slightly */
 	ZONE_PENALTY_REQUESTS = 1, /* the latency to another zone of the region is a few ms */
 	MAX_REPORT_AGE_MS =
 		1500,      /* requests last about 1 s, so older reports describe other requests */
@@ -48,16 +46,17 @@
 	cs_router_update_ejections (&f->router, now);
 	cs_suspects_remove_stale (&f->suspects, now);
 	cs_crashes_tick (f, now);
+	cs_notes_claim_repeats (f);
 	if (cs_stop_phase (f->stopping_ms, now, f->host->grace_ms, 1) >= CS_STOP_REFUSING)
 		cs_bodies_refuse_waiting (f);
 	cs_bodies_tick (f, now);
 	exit_when_drained (f);
 }
 
-static uint32_t
-retry_percent (const cs_forward_t *f)
+static cs_retry_limits_t
+retry_limits (const cs_host_t *host)
 {
-	return (uint32_t)(f->host->retry_ratio * RETRY_BUDGET_PERCENT);
+	return (cs_retry_limits_t){host->retry_ratio, host->retry_slack, host->retry_window_ms};
 }
 
 static cs_status_t
@@ -75,7 +74,7 @@
 					    .max_report_age_ms = MAX_REPORT_AGE_MS,
 					    .zone_penalty = ZONE_PENALTY_REQUESTS,
 					    .eject_percent = EJECT_PERCENT};
-	const cs_retry_options_t retry = {.percent = retry_percent (f), .seed = seed};
+	const cs_retry_limits_t retry = retry_limits (f->host);
 	cs_fleet_init (&f->fleet);
 	cs_suspects_init (&f->suspects);
 	cs_answer_timeout_init (&f->answer_timeout);
@@ -84,7 +83,7 @@
 	cs_crashes_init (f);
 	cs_bodies_init (f);
 	cs_router_init (&f->router, &router);
-	cs_retry_init (&f->retry, &retry);
+	cs_retry_budget_init (&f->retry_budget, &retry, seed, cs_now_ms ());
 	cs_rng_init (&f->rng, seed);
 	cs_queue_init (f);
 	ev_timer_init (&f->tick, on_tick, TICK_MS / 1000., TICK_MS / 1000.);
@@ -124,6 +123,7 @@
 	const cs_state_msg_t *state = (const cs_state_msg_t *)m;
 	const cs_backend_said_msg_t *said = (const cs_backend_said_msg_t *)m;
 	const cs_ledger_msg_t *note = (const cs_ledger_msg_t *)m;
+	cs_retry_limits_t retry;
 	switch (m->kind) {
 	case CS_HOST_SERVING:
 		cs_serving_msg_apply ((cs_serving_msg_t *)m, &f->serving);
@@ -143,7 +143,7 @@
 		f->config_behind = state->is_true;
 		break;
 	case CS_HOST_NOTE:
-		cs_notes_receive (f, cs_buf_str (&note->bytes), note->is_past);
+		cs_notes_receive (f, note);
 		break;
 	case CS_HOST_LEAVING:
 		cs_said_leaving (f, said->id, said->born);
@@ -155,7 +155,8 @@
 		cs_crashes_receive_kept (f, (cs_crash_msg_t *)m);
 		break;
 	case CS_HOST_SETTINGS_CHANGED:
-		cs_retry_set_percent (&f->retry, retry_percent (f));
+		retry = retry_limits (f->host);
+		cs_retry_budget_set_limits (&f->retry_budget, &retry, cs_now_ms ());
 		break;
 	case CS_HOST_STOP:
 		if (!f->stopping_ms)
@@ -180,6 +181,7 @@
 	cs_notes_finish (f);
 	cs_crashes_finish (f);
 	cs_answer_timeout_finish (&f->answer_timeout);
+	cs_retry_budget_finish (&f->retry_budget);
 	cs_fleet_finish (&f->fleet);
 	if (f->serving)
 		cs_ref_put (&f->serving->ref);
--- a/packages/forward/src/forward.h
+++ b/packages/forward/src/forward.h
@@ -19,7 +19,7 @@
 #include "cs/httpd.h"
 #include "cs/notices.h"
 #include "cs/outcome.h"
-#include "cs/retry.h"
+#include "cs/retry_budget.h"
 #include "cs/router.h"
 #include "cs/serving.h"
 #include "cs/sse.h"
@@ -46,7 +46,7 @@
 	bool list_unreachable; /* the list of back ends cannot be read at present */
 	bool targets_stale;    /* the fleet has changed since the router's targets were set */
 	cs_router_t router;
-	cs_retry_t retry;
+	cs_retry_budget_t retry_budget;
 	cs_service_counts_t *service_counts; /* uthash by service */
 	cs_suspects_t suspects;
 	cs_answer_timeout_t answer_timeout;
@@ -149,6 +149,9 @@
 	struct MHD_Connection *connection;
 	cs_call_phase_t phase;
 	uint64_t number;        /* unique within this process */
+	int64_t granted_ms;     /* when a repeat was last acquired */
+	bool awaits_claim;      /* no repeat was granted, but one may be until repeat_until_ms */
+	int64_t repeat_until_ms;
 	cs_wait_queue_t *queue; /* that the request waits in; NULL: not queued */
 	bool head_read;
 	bool suspended;
@@ -295,6 +298,9 @@
 /* True if a stalled attempt is to be replaced by another, for which the retry budget has been
  * charged. If none is possible, waiting on serves the caller better than giving up. */
 bool cs_attempt_acquire_retry (cs_backend_request_t *s);
+/* True if the repeat that the call waits for may be sent now. A process that was paused may be late
+ * with one that was granted, and acquires it anew. */
+bool cs_attempt_keeps_grant (cs_call_t *c);
 /* Records the result of a finished attempt, takes the next step for its request, and frees s. */
 void cs_attempt_ended (cs_backend_request_t *s, const cs_attempt_t *result);
 /* reply.c */
@@ -320,8 +326,9 @@
 void cs_notes_publish_news (cs_forward_t *f, const cs_crash_news_t *news);
 void cs_notes_init (cs_forward_t *f);
 void cs_notes_finish (cs_forward_t *f);
-/* is_past: it was written before this daemon began to read. */
-void cs_notes_receive (cs_forward_t *f, cs_str_t bytes, bool is_past);
+/* Claims a part of the slack of the budget of repeats, if one is wanted. */
+void cs_notes_claim_repeats (cs_forward_t *f);
+void cs_notes_receive (cs_forward_t *f, const cs_ledger_msg_t *m);
 /* crashes.c: contents and parts of prompts that crash back ends */
 void cs_crashes_init (cs_forward_t *f);
 void cs_crashes_finish (cs_forward_t *f);
--- a/packages/forward/src/notes.c
+++ b/packages/forward/src/notes.c
@@ -1,6 +1,7 @@
 /* Notes that daemons exchange about groups. A daemon publishes one when the head of a group does
  * not answer, and the others then avoid this head. The planner asks about heads that it cannot
  * reach; daemons probe them and publish a note if they answer. */
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -265,6 +266,39 @@
 	publish_note (f, &note);
 }
 
+void
+cs_notes_claim_repeats (cs_forward_t *f)
+{
+	cs_retry_claim_t claim;
+	if (f->list_unreachable)
+		return;
+	while (cs_retry_budget_next_claim (&f->retry_budget, cs_now_ms (), &claim)) {
+		Cs__RepeatsClaim repeats = CS__REPEATS_CLAIM__INIT;
+		Cs__Note note = CS__NOTE__INIT;
+		repeats.service = (char *)claim.service;
+		repeats.repeats = claim.n;
+		repeats.id = claim.id;
+		note.body_case = CS__NOTE__BODY_REPEATS;
+		note.repeats = &repeats;
+		cs_log_event ("forward", "repeats_claimed", "service=%s repeats=%u claim=%016" PRIx64,
+			      claim.service, claim.n, claim.id);
+		publish_note (f, &note);
+	}
+}
+
+static void
+apply_claim (cs_forward_t *f, const Cs__Note *note)
+{
+	const Cs__RepeatsClaim *r = note->repeats;
+	const cs_retry_claim_t claim = {r->service, r->repeats, r->id};
+	bool is_own = !strcmp (note->from, f->host->name);
+	bool is_granted = cs_retry_budget_hear (&f->retry_budget, cs_now_ms (), &claim, is_own);
+	if (is_own)
+		cs_log_event ("forward", "repeats_claim_read",
+			      "service=%s repeats=%u claim=%016" PRIx64 " granted=%d", r->service,
+			      r->repeats, r->id, is_granted);
+}
+
 void
 cs_notes_init (cs_forward_t *f)
 {
@@ -342,21 +376,28 @@
 	if (note->body_case == CS__NOTE__BODY_BROKEN &&
 	    cs_now_ms () - local_ms (note->broken->at, CS_CRASH_WINDOW_MS) < CS_CRASH_WINDOW_MS)
 		apply_broken (f, note->broken, true);
+	else if (note->body_case == CS__NOTE__BODY_REPEATS)
+		apply_claim (f, note);
 	else if (note->body_case == CS__NOTE__BODY_VERDICT &&
 		 note->verdict->kind == CS__CONTENT_VERDICT__KIND__WORKS)
 		apply_verdict (f, note, false);
 }
 
 void
-cs_notes_receive (cs_forward_t *f, cs_str_t bytes, bool is_past)
+cs_notes_receive (cs_forward_t *f, const cs_ledger_msg_t *m)
 {
-	Cs__Note *note = cs__note__unpack (NULL, bytes.n, (const uint8_t *)bytes.p);
+	cs_retry_budget_follow (&f->retry_budget, cs_now_ms (), m->era, m->offset, m->bytes.n > 0);
+	if (!m->bytes.n)
+		return;
+	Cs__Note *note = cs__note__unpack (NULL, m->bytes.n, (const uint8_t *)m->bytes.p);
 	if (!note) {
 		cs_log ("forward", CS_LOG_WARN, "received note is not a valid protobuf message");
 		return;
 	}
-	if (is_past)
+	if (m->is_past)
 		apply_past (f, note);
+	else if (note->body_case == CS__NOTE__BODY_REPEATS)
+		apply_claim (f, note);
 	else if (note->body_case == CS__NOTE__BODY_SILENT)
 		apply_silent (f, note);
 	else if (note->body_case == CS__NOTE__BODY_QUESTION)
--- a/packages/host/include/cs/host_messages.h
+++ b/packages/host/include/cs/host_messages.h
@@ -30,7 +30,8 @@
 	CS_HOST_LEDGER,
 	CS_HOST_PROPOSE,
 	CS_HOST_PROPOSED,
-	CS_HOST_NOTE,    /* cs_ledger_msg_t: a packed Note; `offset` is its position in the topic */
+	CS_HOST_NOTE,    /* cs_ledger_msg_t: a packed Note; `offset` is its position in the topic.
+			    To forward also once an era without one: where the reading begins */
 	CS_HOST_LEAVING, /* a back end has said in an answer that it leaves */
 	CS_HOST_TURNED_AWAY,      /* a back end wants no requests of this daemon for a time */
 	CS_HOST_REFUSED_CAUSE,    /* what crashes back ends, to be kept in the store or
@@ -82,7 +83,8 @@
 typedef struct {
 	cs_msg_t msg;
 	uint64_t offset;
-	uint64_t era;      /* LEDGER, PROPOSE: of the store; its offsets mean nothing in another */
+	uint64_t era;      /* LEDGER, PROPOSE, NOTE to forward: of the store; its offsets mean
+			      nothing in another */
 	cs_buf_t *records; /* PROPOSE */
 	size_t n_records;
 	cs_buf_t bytes; /* LEDGER */
--- a/packages/host/src/apply_settings.c
+++ b/packages/host/src/apply_settings.c
@@ -12,6 +12,15 @@
 	*current = next;
 }
 
+static void
+update_number (const char *name, double *current, double next, cs_buf_t *changes)
+{
+	if (*current == next)
+		return;
+	cs_buf_printf (changes, "%s=%g->%g ", name, *current, next);
+	*current = next;
+}
+
 static void
 report_restart (const char *name, const char *current, const char *next, cs_buf_t *changes)
 {
@@ -26,11 +35,9 @@
 	update_ms ("heartbeat_ms", &current->heartbeat_ms, next->heartbeat_ms, changes);
 	update_ms ("grace_ms", &current->grace_ms, next->grace_ms, changes);
 	update_ms ("lease_min_ms", &current->lease_min_ms, next->lease_min_ms, changes);
-	if (current->retry_ratio != next->retry_ratio) {
-		cs_buf_printf (changes, "retry_ratio=%g->%g ", current->retry_ratio,
-			       next->retry_ratio);
-		current->retry_ratio = next->retry_ratio;
-	}
+	update_number ("retry_ratio", &current->retry_ratio, next->retry_ratio, changes);
+	update_number ("retry_slack", &current->retry_slack, next->retry_slack, changes);
+	update_ms ("retry_window_ms", &current->retry_window_ms, next->retry_window_ms, changes);
 	report_restart ("name", current->name, next->name, changes);
 	report_restart ("zone", current->zone, next->zone, changes);
 	report_restart ("listen_callers", current->listen_callers, next->listen_callers, changes);
--- a/packages/wire/include/cs/note.pb-c.h
+++ b/packages/wire/include/cs/note.pb-c.h
@@ -22,6 +22,7 @@
 typedef struct Cs__ContentVerdict Cs__ContentVerdict;
 typedef struct Cs__HeadQuestion Cs__HeadQuestion;
 typedef struct Cs__HeadAnswers Cs__HeadAnswers;
+typedef struct Cs__RepeatsClaim Cs__RepeatsClaim;
 
 
 /* --- enums --- */
@@ -47,7 +48,8 @@
   CS__NOTE__BODY_QUESTION = 3,
   CS__NOTE__BODY_ANSWERS = 4,
   CS__NOTE__BODY_BROKEN = 5,
-  CS__NOTE__BODY_VERDICT = 6
+  CS__NOTE__BODY_VERDICT = 6,
+  CS__NOTE__BODY_REPEATS = 7
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CS__NOTE__BODY__CASE)
 } Cs__Note__BodyCase;
 
@@ -65,6 +67,7 @@
     Cs__HeadAnswers *answers;
     Cs__Broken *broken;
     Cs__ContentVerdict *verdict;
+    Cs__RepeatsClaim *repeats;
   };
 };
 #define CS__NOTE__INIT \
@@ -199,6 +202,25 @@
     , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
+/*
+ * The sender asks for a part of what all daemons together may repeat of a service's requests; the
+ * claims before this one in the topic come first.
+ */
+struct  Cs__RepeatsClaim
+{
+  ProtobufCMessage base;
+  char *service;
+  uint32_t repeats;
+  /*
+   * unique among the claims of a sender
+   */
+  uint64_t id;
+};
+#define CS__REPEATS_CLAIM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cs__repeats_claim__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
 /* Cs__Note methods */
 void   cs__note__init
                      (Cs__Note         *message);
@@ -332,6 +354,25 @@
 void   cs__head_answers__free_unpacked
                      (Cs__HeadAnswers *message,
                       ProtobufCAllocator *allocator);
+/* Cs__RepeatsClaim methods */
+void   cs__repeats_claim__init
+                     (Cs__RepeatsClaim         *message);
+size_t cs__repeats_claim__get_packed_size
+                     (const Cs__RepeatsClaim   *message);
+size_t cs__repeats_claim__pack
+                     (const Cs__RepeatsClaim   *message,
+                      uint8_t             *out);
+size_t cs__repeats_claim__pack_to_buffer
+                     (const Cs__RepeatsClaim   *message,
+                      ProtobufCBuffer     *buffer);
+Cs__RepeatsClaim *
+       cs__repeats_claim__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cs__repeats_claim__free_unpacked
+                     (Cs__RepeatsClaim *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Cs__Note_Closure)
@@ -355,6 +396,9 @@
 typedef void (*Cs__HeadAnswers_Closure)
                  (const Cs__HeadAnswers *message,
                   void *closure_data);
+typedef void (*Cs__RepeatsClaim_Closure)
+                 (const Cs__RepeatsClaim *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -369,6 +413,7 @@
 extern const ProtobufCEnumDescriptor    cs__content_verdict__kind__descriptor;
 extern const ProtobufCMessageDescriptor cs__head_question__descriptor;
 extern const ProtobufCMessageDescriptor cs__head_answers__descriptor;
+extern const ProtobufCMessageDescriptor cs__repeats_claim__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/packages/wire/src/note.pb-c.c
+++ b/packages/wire/src/note.pb-c.c
@@ -322,7 +322,52 @@
   assert(message->base.descriptor == &cs__head_answers__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor cs__note__field_descriptors[6] =
+void   cs__repeats_claim__init
+                     (Cs__RepeatsClaim         *message)
+{
+  static const Cs__RepeatsClaim init_value = CS__REPEATS_CLAIM__INIT;
+  *message = init_value;
+}
+size_t cs__repeats_claim__get_packed_size
+                     (const Cs__RepeatsClaim *message)
+{
+  assert(message->base.descriptor == &cs__repeats_claim__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cs__repeats_claim__pack
+                     (const Cs__RepeatsClaim *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cs__repeats_claim__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cs__repeats_claim__pack_to_buffer
+                     (const Cs__RepeatsClaim *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cs__repeats_claim__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cs__RepeatsClaim *
+       cs__repeats_claim__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cs__RepeatsClaim *)
+     protobuf_c_message_unpack (&cs__repeats_claim__descriptor,
+                                allocator, len, data);
+}
+void   cs__repeats_claim__free_unpacked
+                     (Cs__RepeatsClaim *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cs__repeats_claim__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor cs__note__field_descriptors[7] =
 {
   {
     "from",
@@ -396,19 +441,32 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "repeats",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cs__Note, body_case),
+    offsetof(Cs__Note, repeats),
+    &cs__repeats_claim__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cs__note__field_indices_by_name[] = {
   3,   /* field[3] = answers */
   4,   /* field[4] = broken */
   0,   /* field[0] = from */
   2,   /* field[2] = question */
+  6,   /* field[6] = repeats */
   1,   /* field[1] = silent */
   5,   /* field[5] = verdict */
 };
 static const ProtobufCIntRange cs__note__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor cs__note__descriptor =
 {
@@ -418,7 +476,7 @@
   "Cs__Note",
   "cs",
   sizeof(Cs__Note),
-  6,
+  7,
   cs__note__field_descriptors,
   cs__note__field_indices_by_name,
   1,  cs__note__number_ranges,
@@ -871,3 +929,67 @@
   (ProtobufCMessageInit) cs__head_answers__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor cs__repeats_claim__field_descriptors[3] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cs__RepeatsClaim, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "repeats",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cs__RepeatsClaim, repeats),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "id",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cs__RepeatsClaim, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cs__repeats_claim__field_indices_by_name[] = {
+  2,   /* field[2] = id */
+  1,   /* field[1] = repeats */
+  0,   /* field[0] = service */
+};
+static const ProtobufCIntRange cs__repeats_claim__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor cs__repeats_claim__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cs.RepeatsClaim",
+  "RepeatsClaim",
+  "Cs__RepeatsClaim",
+  "cs",
+  sizeof(Cs__RepeatsClaim),
+  3,
+  cs__repeats_claim__field_descriptors,
+  cs__repeats_claim__field_indices_by_name,
+  1,  cs__repeats_claim__number_ranges,
+  (ProtobufCMessageInit) cs__repeats_claim__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
