--- a/packages/decide/include/cs/retry_budget.h
+++ b/packages/decide/include/cs/retry_budget.h
@@ -1,4 +1,5 @@
-/* The budget of repeats: how many further attempts of requests the daemons of a fleet make together.
+/* The budget of repeats: how many further attempts of requests the daemons of a fleet make
+ * together.
  *
  * For a service, the fleet may make in any window as many repeats as `ratio` times the requests for
  * it plus `slack`; requests are those of the window or of the one before it, whichever are more.
@@ -11,13 +12,14 @@
  * at most ratio / 2 times its own requests of that window and the one before. That sums over any
  * daemons, also those that come and go, to at most ratio times the larger of both.
  *
- * The slack is one for the fleet. A daemon that needs a part of it appends a claim to the notes that
- * all daemons read, and may use it, for a short time since it was sent, once it has read the claim
- * back and the claims read before it leave room. Each daemon takes a claim as used until a window
- * behind that time. A daemon that has started, or has missed notes, claims nothing until older
- * claims have ended; without the store there are no claims.
+ * The slack is one for the fleet. A daemon that needs a part of it appends a claim to the notes
+ * that all daemons read, and may use it, for a short time since it was sent, once it has read the
+ * claim back and the claims read before it leave room. Each daemon takes a claim as used until a
+ * window behind that time. A daemon that has started, or has missed notes, claims nothing until
+ * older claims have ended; without the store there are no claims.
  *
- * All times are in milliseconds of the caller's clock, which runs on while the machine is suspended. */
+ * All times are in milliseconds of the caller's clock, which runs on while the machine is
+ * suspended. */
 #ifndef CS_RETRY_BUDGET_H
 #define CS_RETRY_BUDGET_H
 
@@ -28,13 +30,13 @@
 #include "cs/rng.h"
 
 enum {
-	CS_RETRY_SERVICES = 64,     /* with a budget; one more gets no repeats */
-	CS_RETRY_SLICES = 100,      /* in which a window is counted */
-	CS_RETRY_CLAIMS = 1024,     /* of all daemons that are known */
-	CS_RETRY_OWN_CLAIMS = 8,    /* of one service in use */
-	CS_RETRY_SEND_MS = 500,     /* a repeat is sent within this time of its grant */
-	CS_RETRY_MIN_CLAIMS = 8,    /* a claim is for at most this part of the slack */
-	CS_RETRY_CLAIM_MS = 400     /* a claim that is granted mostly is within this time */
+	CS_RETRY_SERVICES = 64,  /* with a budget; one more gets no repeats */
+	CS_RETRY_SLICES = 100,   /* in which a window is counted */
+	CS_RETRY_CLAIMS = 1024,  /* of all daemons that are known */
+	CS_RETRY_OWN_CLAIMS = 8, /* of one service in use */
+	CS_RETRY_SEND_MS = 500,  /* a repeat is sent within this time of its grant */
+	CS_RETRY_MIN_CLAIMS = 8, /* a claim is for at most this part of the slack */
+	CS_RETRY_CLAIM_MS = 400  /* a claim that is granted mostly is within this time */
 };
 
 /* What the fleet is allowed, for each service. */
@@ -64,13 +66,13 @@
 	int64_t used_ms;
 	int64_t slice; /* the newest; counts are indexed by slice % (2 * CS_RETRY_SLICES + 1) */
 	uint32_t requests[2 * CS_RETRY_SLICES + 1];
-	uint32_t repeats[2 * CS_RETRY_SLICES + 1]; /* of the share */
+	uint32_t repeats[2 * CS_RETRY_SLICES + 1];  /* of the share */
 	cs_retry_part_t parts[CS_RETRY_OWN_CLAIMS]; /* of the slack, granted to this daemon */
 	uint64_t pending_id;                        /* claim that was not read back yet; 0: none */
 	uint32_t pending_n;
-	int64_t pending_ms; /* when it was sent */
+	int64_t pending_ms;                      /* when it was sent */
 	uint32_t wants[2 * CS_RETRY_SLICES + 1]; /* repeats that needed slack */
-	int64_t wanted_ms; /* the last one; 0: none since the last claim */
+	int64_t wanted_ms;                       /* the last one; 0: none since the last claim */
 } cs_retry_service_t;
 
 typedef struct {
@@ -111,10 +113,10 @@
 /* What a grant was decided on. */
 typedef struct {
 	cs_retry_grant_t grant;
-	bool may_come;     /* none was granted, but a claim that may grant one is under way */
-	uint32_t requests; /* of this daemon, in two windows */
-	uint32_t repeats;  /* of its share, in one window, including this one */
-	uint32_t allowed;  /* of its share, in the whole window */
+	bool may_come;       /* none was granted, but a claim that may grant one is under way */
+	uint32_t requests;   /* of this daemon, in two windows */
+	uint32_t repeats;    /* of its share, in one window, including this one */
+	uint32_t allowed;    /* of its share, in the whole window */
 	uint32_t slack_left; /* granted to this daemon and not used */
 	uint32_t claimed;    /* of the slack, by all daemons */
 } cs_retry_decision_t;
@@ -135,8 +137,8 @@
 /* True if a claim is to be appended now, which counts as sent then; its name is owned by b. */
 bool cs_retry_budget_next_claim (cs_retry_budget_t *b, int64_t now_ms, cs_retry_claim_t *out);
 /* Called for each record of the notes before what it says is applied, and with n 0 for the place
- * where the reading begins. A record that does not follow the one before, or is of another era, means
- * that claims may have been missed. */
+ * where the reading begins. A record that does not follow the one before, or is of another era,
+ * means that claims may have been missed. */
 void cs_retry_budget_follow (cs_retry_budget_t *b, int64_t now_ms, uint64_t era, uint64_t offset,
 			     uint64_t n);
 /* A claim was read. True if it grants this daemon, which made it, its part. */
--- a/packages/decide/src/retry_budget.c
+++ b/packages/decide/src/retry_budget.c
@@ -8,12 +8,13 @@
 
 enum {
 	RING = 2 * CS_RETRY_SLICES + 1,
-	SHARE_PERCENT = 90, /* the rest covers requests that are counted later than they were sent */
-	USE_PERCENT = 12,   /* of a window: a part of the slack is used within it */
-	WANTED_MS = 500,      /* for which a want of slack holds */
-	SUPPLY_MS = 100,      /* for which a claim is to last: until the next one is granted */
+	SHARE_PERCENT =
+		90,       /* the rest covers requests that are counted later than they were sent */
+	USE_PERCENT = 12, /* of a window: a part of the slack is used within it */
+	WANTED_MS = 500,  /* for which a want of slack holds */
+	SUPPLY_MS = 100,  /* for which a claim is to last: until the next one is granted */
 	MS_PER_S = 1000,
-	LOW_SHARE = 2       /* repeats left below which slack is claimed ahead */
+	LOW_SHARE = 2 /* repeats left below which slack is claimed ahead */
 };
 
 /* Also the slices of the two windows before a time near 0 are positive. */
@@ -155,14 +156,15 @@
 		s->requests[slice % RING]++;
 }
 
-/* Fills in the counts of the last window. Returns whether one more repeat keeps, for each window that
- * holds it and began with a repeat, within the share. */
+/* Fills in the counts of the last window. Returns whether one more repeat keeps, for each window
+ * that holds it and began with a repeat, within the share. */
 static bool
 share_allows (const cs_retry_budget_t *b, const cs_retry_service_t *s, cs_retry_decision_t *d)
 {
 	double factor = b->limits.ratio * SHARE_PERCENT / 100 / 2;
 	bool fits = true;
-	/* Slices in part outside of a window count as inside for repeats and as outside for requests. */
+	/* Slices in part outside of a window count as inside for repeats and as outside for
+	 * requests. */
 	for (int64_t i = s->slice; i > s->slice - CS_RETRY_SLICES; i--)
 		d->requests += s->requests[i % RING];
 	for (int64_t i = s->slice; i >= s->slice - CS_RETRY_SLICES; i--) {
@@ -192,8 +194,7 @@
 	cs_retry_part_t *first = NULL;
 	for (size_t i = 0; i < CS_RETRY_OWN_CLAIMS; i++) {
 		cs_retry_part_t *p = &s->parts[i];
-		if (!p->n ||
-		    (p->until_ms <= now_ms && !(b->disabled & CS_RETRY_BUDGET_NO_EXPIRY)))
+		if (!p->n || (p->until_ms <= now_ms && !(b->disabled & CS_RETRY_BUDGET_NO_EXPIRY)))
 			continue;
 		if (!first || p->until_ms < first->until_ms)
 			first = p;
@@ -271,7 +272,8 @@
 		return d;
 	}
 	want_slack (s, now_ms);
-	d.may_come = may_claim (b, now_ms) && (is_pending (b, s, now_ms) || d.claimed < b->limits.slack);
+	d.may_come =
+		may_claim (b, now_ms) && (is_pending (b, s, now_ms) || d.claimed < b->limits.slack);
 	if (!d.slack_left)
 		return d;
 	d.grant = CS_RETRY_GRANT_SLACK;
--- a/packages/decide/tests/invariant_retry_budget.c
+++ b/packages/decide/tests/invariant_retry_budget.c
@@ -1,10 +1,10 @@
-/* The repeats of a service stay within what the fleet is allowed in any window, whatever befalls its
- * daemons, and most of what is allowed is granted when it is wanted. Guards against a bound on the
- * fleet that each daemon keeps for itself.
+/* The repeats of a service stay within what the fleet is allowed in any window, whatever befalls
+ * its daemons, and most of what is allowed is granted when it is wanted. Guards against a bound on
+ * the fleet that each daemon keeps for itself.
  *
- * Plays 3 to 330 daemons in virtual time. One service fails all that is sent to it while another has
- * bursts. Daemons start, are killed, paused and cut off from the notes; notes come late, and the
- * store forgets them or goes back to a copy of itself. */
+ * Plays 3 to 330 daemons in virtual time. One service fails all that is sent to it while another
+ * has bursts. Daemons start, are killed, paused and cut off from the notes; notes come late, and
+ * the store forgets them or goes back to a copy of itself. */
 #include "cs_test.h"
 
 #include <stdio.h>
@@ -53,10 +53,10 @@
 typedef struct event {
 	struct event *next;
 	uint32_t daemon;
-	uint32_t tries;       /* 0: a request comes */
-	int64_t granted_ms;   /* a repeat is sent; 0: an attempt has failed */
+	uint32_t tries;        /* 0: a request comes */
+	int64_t granted_ms;    /* a repeat is sent; 0: an attempt has failed */
 	int64_t wait_until_ms; /* for a claim; 0: has not waited */
-	uint64_t incarnation; /* of its daemon; the event ends with it */
+	uint64_t incarnation;  /* of its daemon; the event ends with it */
 	uint8_t service;
 } event_t;
 
@@ -84,7 +84,8 @@
 	double burst[N_SERVICES]; /* factor */
 	int64_t burst_from_ms, burst_to_ms;
 	int64_t fails_from_ms;
-	int64_t pulse_ms; /* the service fails for so long, and works for as long; 0: fails always */
+	int64_t pulse_ms; /* the service fails for so long, and works for as long; 0: fails always
+			   */
 	cs_retry_limits_t limits;
 	daemon_t daemons[MAX_DAEMONS];
 	note_t notes[MAX_NOTES];
@@ -230,8 +231,8 @@
 	cs_retry_budget_count_request (&d->budget, names[e.service], w->now_ms, w->now_ms);
 	cs_retry_count_first_try (&d->count, w->now_ms);
 	e.tries = 1;
-	bool fails = w->now_ms >= w->fails_from_ms &&
-		     (!w->pulse_ms || w->now_ms / w->pulse_ms % 2 == 0);
+	bool fails =
+		w->now_ms >= w->fails_from_ms && (!w->pulse_ms || w->now_ms / w->pulse_ms % 2 == 0);
 	if (e.service == FAILING && fails)
 		add_event (w, w->now_ms + 1 + cs_rng_below (&w->rng, 60), e);
 }
@@ -438,10 +439,11 @@
 			size_t n = count_between (&w->repeats, from_ms[k], from_ms[k] + WINDOW_MS);
 			double allowed = allowed_from (w, from_ms[k]);
 			if ((double)n > allowed)
-				fail_msg ("seed %llu: %zu repeats from %lld ms on, %.1f allowed, %u "
-					  "daemons",
-					  (unsigned long long)w->seed, n, (long long)from_ms[k],
-					  allowed, w->n_daemons);
+				fail_msg (
+					"seed %llu: %zu repeats from %lld ms on, %.1f allowed, %u "
+					"daemons",
+					(unsigned long long)w->seed, n, (long long)from_ms[k],
+					allowed, w->n_daemons);
 		}
 	}
 }
@@ -504,7 +506,8 @@
 		n_denied += w->denied.n;
 		clear (w);
 	}
-	print_message ("%u schedules: %zu repeats, %zu denied\n", options.runs, n_repeats, n_denied);
+	print_message ("%u schedules: %zu repeats, %zu denied\n", options.runs, n_repeats,
+		       n_denied);
 	free (w);
 }
 
@@ -539,10 +542,11 @@
 		w->limits = (cs_retry_limits_t){0.2, cases[i].slack, WINDOW_MS};
 		play (w);
 		double part = granted_part (w);
-		print_message ("%u daemons, %g requests/s failing, %g sound: %.2f of what is allowed "
-			       "was granted, %llu claims\n",
-			       cases[i].n_daemons, cases[i].rate, cases[i].sound * cases[i].burst,
-			       part, (unsigned long long)w->n_notes);
+		print_message (
+			"%u daemons, %g requests/s failing, %g sound: %.2f of what is allowed "
+			"was granted, %llu claims\n",
+			cases[i].n_daemons, cases[i].rate, cases[i].sound * cases[i].burst, part,
+			(unsigned long long)w->n_notes);
 		check_budget (w);
 		assert_true (part >= cases[i].goal);
 		clear (w);
--- a/packages/forward/src/admit.c
+++ b/packages/forward/src/admit.c
@@ -134,8 +134,7 @@
 	c->content = cs_poison_fingerprint (cs_str (c->team ? c->team->name : ""),
 					    cs_str (c->target), cs_buf_str (&c->body));
 	set_causes (c);
-	cs_retry_budget_count_request (&f->retry_budget, c->service, c->received_ms,
-				       cs_now_ms ());
+	cs_retry_budget_count_request (&f->retry_budget, c->service, c->received_ms, cs_now_ms ());
 	cs_service_counts_request (f, c->service);
 	cs_dispatch (c);
 }
--- a/packages/forward/src/attempt_end.c
+++ b/packages/forward/src/attempt_end.c
@@ -13,8 +13,8 @@
 	STATUS_TIMEOUT = 504,
 	RECENT_ANSWER_MS =
 		300, /* every stream of a working back end delivers several events in this time */
-	CLAIM_CHECK_MS = 50,     /* until it is looked whether a claim was granted */
-	REPEAT_JITTER_MS = 25,   /* longest delay of a repeat, so that repeats of a moment spread */
+	CLAIM_CHECK_MS = 50,   /* until it is looked whether a claim was granted */
+	REPEAT_JITTER_MS = 25, /* longest delay of a repeat, so that repeats of a moment spread */
 	REFUSED_RETRY_MS = 300 /* another back end may accept the request by then */
 };
 
@@ -75,8 +75,8 @@
 		cs_answer_timeout_record_timeout (&f->answer_timeout, now, s->service);
 }
 
-/* Charges the budget of repeats and sets delay_ms. False if the budget is used up or too little time
- * is left; c->awaits_claim is then true if a claim may allow it in a moment. */
+/* Charges the budget of repeats and sets delay_ms. False if the budget is used up or too little
+ * time is left; c->awaits_claim is then true if a claim may allow it in a moment. */
 static bool
 acquire_repeat (cs_call_t *c, int64_t *delay_ms)
 {
--- a/packages/forward/src/forward.h
+++ b/packages/forward/src/forward.h
@@ -148,9 +148,9 @@
 	cs_forward_t *forward;
 	struct MHD_Connection *connection;
 	cs_call_phase_t phase;
-	uint64_t number;        /* unique within this process */
-	int64_t granted_ms;     /* when a repeat was last acquired */
-	bool awaits_claim;      /* no repeat was granted, but one may be until repeat_until_ms */
+	uint64_t number;    /* unique within this process */
+	int64_t granted_ms; /* when a repeat was last acquired */
+	bool awaits_claim;  /* no repeat was granted, but one may be until repeat_until_ms */
 	int64_t repeat_until_ms;
 	cs_wait_queue_t *queue; /* that the request waits in; NULL: not queued */
 	bool head_read;
--- a/packages/forward/src/notes.c
+++ b/packages/forward/src/notes.c
@@ -280,8 +280,9 @@
 		repeats.id = claim.id;
 		note.body_case = CS__NOTE__BODY_REPEATS;
 		note.repeats = &repeats;
-		cs_log_event ("forward", "repeats_claimed", "service=%s repeats=%u claim=%016" PRIx64,
-			      claim.service, claim.n, claim.id);
+		cs_log_event ("forward", "repeats_claimed",
+			      "service=%s repeats=%u claim=%016" PRIx64, claim.service, claim.n,
+			      claim.id);
 		publish_note (f, &note);
 	}
 }
--- a/packages/forward/src/service_counts.c
+++ b/packages/forward/src/service_counts.c
@@ -45,8 +45,7 @@
 {
 	cs_buf_t name;
 	cs_buf_init (&name);
-	cs_buf_printf (&name, "%s{service=\"%s\"%s}", kinds[kind].name, service,
-		       kinds[kind].label);
+	cs_buf_printf (&name, "%s{service=\"%s\"%s}", kinds[kind].name, service, kinds[kind].label);
 	return name.p;
 }
 
--- a/packages/host/include/cs/host.h
+++ b/packages/host/include/cs/host.h
@@ -96,14 +96,15 @@
 	double retry_ratio;    /* repeats to requests of a service, all daemons */
 	double retry_slack;    /* repeats of a service beside these in a window, all daemons */
 	uint32_t retry_window_ms;
-	size_t memory_bytes;   /* the process is killed beyond; 0: unknown */
+	size_t memory_bytes; /* the process is killed beyond; 0: unknown */
 	uint32_t max_connections;
 	bool first_start; /* the whole system starts for the first time */
 } cs_host_t;
 
 /* Applies the settings that can change at run time: heartbeat_ms, grace_ms, lease_min_ms,
- * retry_ratio, retry_slack and retry_window_ms. Appends "NAME=OLD->NEW " for each that changed, and "NAME=restart " for each other
- * field that differs, which takes effect at the next start. False if nothing differs. */
+ * retry_ratio, retry_slack and retry_window_ms. Appends "NAME=OLD->NEW " for each that changed, and
+ * "NAME=restart " for each other field that differs, which takes effect at the next start. False if
+ * nothing differs. */
 bool cs_host_apply_settings (cs_host_t *current, const cs_host_t *next, cs_buf_t *changes);
 
 #endif
--- a/packages/host/tests/test_adopt.c
+++ b/packages/host/tests/test_adopt.c
@@ -20,6 +20,8 @@
 			   .grace_ms = 8000,
 			   .lease_min_ms = 1000,
 			   .retry_ratio = 0.2,
+			   .retry_slack = 302,
+			   .retry_window_ms = 10000,
 			   .max_connections = 100};
 }
 
@@ -49,6 +51,16 @@
 	h->retry_ratio = 0.1;
 }
 static void
+set_slack (cs_host_t *h)
+{
+	h->retry_slack = 120;
+}
+static void
+set_window (cs_host_t *h)
+{
+	h->retry_window_ms = 5000;
+}
+static void
 set_store (cs_host_t *h)
 {
 	h->store_address = two;
@@ -79,6 +91,8 @@
 	{set_grace, "grace_ms=8000->4000 ", true},
 	{set_lease, "lease_min_ms=1000->1500 ", true},
 	{set_ratio, "retry_ratio=0.2->0.1 ", true},
+	{set_slack, "retry_slack=302->120 ", true},
+	{set_window, "retry_window_ms=10000->5000 ", true},
 	{set_store, "store_address=restart ", false},
 	{set_callers, "listen_callers=restart ", false},
 	{set_zone, "zone=restart ", false},
