--- a/packages/decide/include/cs/retry_budget.h
+++ b/packages/decide/include/cs/retry_budget.h
@@ -16,7 +16,8 @@
  * that all daemons read, and may use it, for a short time since it was sent, once it has read the
  * claim back and the claims read before it leave room. Each daemon takes a claim as used until a
  * window behind that time. A daemon that has started, or has missed notes, claims nothing until
- * older claims have ended; without the store there are no claims.
+ * older claims have ended, unless the fleet is new and all notes were read since the first one;
+ * without the store there are no claims.
  *
  * All times are in milliseconds of the caller's clock, which runs on while the machine is
  * suspended. */
@@ -91,6 +92,7 @@
 	size_t n_services;
 	cs_retry_claimed_t claims[CS_RETRY_CLAIMS]; /* heard of all daemons, in no order */
 	size_t n_claims;
+	bool is_new_fleet;
 	bool follows; /* era and next_offset are known */
 	uint64_t era;
 	uint64_t next_offset;
@@ -121,9 +123,10 @@
 	uint32_t claimed;    /* of the slack, by all daemons */
 } cs_retry_decision_t;
 
-/* seed: differs at each start. */
+/* seed: differs at each start. is_new_fleet: the daemon started with the whole fleet, for the first
+ * time. */
 void cs_retry_budget_init (cs_retry_budget_t *b, const cs_retry_limits_t *limits, uint64_t seed,
-			   int64_t now_ms);
+			   bool is_new_fleet, int64_t now_ms);
 void cs_retry_budget_finish (cs_retry_budget_t *b);
 void cs_retry_budget_set_limits (cs_retry_budget_t *b, const cs_retry_limits_t *limits,
 				 int64_t now_ms);
--- a/packages/decide/src/retry_budget.c
+++ b/packages/decide/src/retry_budget.c
@@ -14,7 +14,8 @@
 	WANTED_MS = 500,  /* for which a want of slack holds */
 	SUPPLY_MS = 100,  /* for which a claim is to last: until the next one is granted */
 	MS_PER_S = 1000,
-	LOW_SHARE = 2 /* repeats left below which slack is claimed ahead */
+	FIRST_ERA = 1, /* of a store that was never restored from a copy */
+	LOW_SHARE = 2  /* repeats left below which slack is claimed ahead */
 };
 
 /* Also the slices of the two windows before a time near 0 are positive. */
@@ -46,11 +47,12 @@
 
 void
 cs_retry_budget_init (cs_retry_budget_t *b, const cs_retry_limits_t *limits, uint64_t seed,
-		      int64_t now_ms)
+		      bool is_new_fleet, int64_t now_ms)
 {
 	memset (b, 0, sizeof *b);
 	b->limits = *limits;
 	b->next_id = seed;
+	b->is_new_fleet = is_new_fleet;
 	cs_rng_init (&b->rng, seed);
 	wait_for_claims_to_end (b, now_ms);
 }
@@ -327,7 +329,10 @@
 cs_retry_budget_follow (cs_retry_budget_t *b, int64_t now_ms, uint64_t era, uint64_t offset,
 			uint64_t n)
 {
-	if (!b->follows || b->era != era || b->next_offset != offset)
+	bool is_first = !b->follows && b->is_new_fleet && era <= FIRST_ERA && !offset;
+	if (is_first)
+		b->claims_from_ms = 0;
+	else if (!b->follows || b->era != era || b->next_offset != offset)
 		wait_for_claims_to_end (b, now_ms);
 	b->follows = true;
 	b->era = era;
--- a/packages/decide/tests/invariant_retry_budget.c
+++ b/packages/decide/tests/invariant_retry_budget.c
@@ -130,7 +130,8 @@
 start_daemon (world_t *w, daemon_t *d)
 {
 	const cs_retry_options_t count = {.percent = (uint32_t)(w->limits.ratio * 90), .seed = 1};
-	cs_retry_budget_init (&d->budget, &w->limits, ++w->incarnations << 20, w->now_ms);
+	cs_retry_budget_init (&d->budget, &w->limits, ++w->incarnations << 20, w->now_ms == 0,
+			      w->now_ms);
 	d->budget.disabled = disabled;
 	cs_retry_init (&d->count, &count);
 	d->is_up = true;
@@ -369,6 +370,7 @@
 static void
 play (world_t *w)
 {
+	w->era = 1;
 	for (uint32_t i = 0; i < w->n_daemons; i++)
 		start_daemon (w, &w->daemons[i]);
 	for (w->now_ms = 0; w->now_ms < w->end_ms; w->now_ms += TICK_MS)
--- a/packages/decide/tests/test_retry_budget.c
+++ b/packages/decide/tests/test_retry_budget.c
@@ -17,7 +17,7 @@
 static void
 init_budget (cs_retry_budget_t *b)
 {
-	cs_retry_budget_init (b, &limits, SEED, START_MS);
+	cs_retry_budget_init (b, &limits, SEED, false, START_MS);
 	cs_retry_budget_follow (b, START_MS, 1, 100, 0);
 }
 
--- a/packages/forward/src/forward.c
+++ b/packages/forward/src/forward.c
@@ -83,7 +83,7 @@
 	cs_crashes_init (f);
 	cs_bodies_init (f);
 	cs_router_init (&f->router, &router);
-	cs_retry_budget_init (&f->retry_budget, &retry, seed, cs_now_ms ());
+	cs_retry_budget_init (&f->retry_budget, &retry, seed, f->host->first_start, cs_now_ms ());
 	cs_rng_init (&f->rng, seed);
 	cs_queue_init (f);
 	ev_timer_init (&f->tick, on_tick, TICK_MS / 1000., TICK_MS / 1000.);
