retry_budget: grants that are sent late count in the window of their sending, and once

Found by a review that had not seen the work: a burst that is granted just before a window and sent inside it, and a second one when the first leaves the window of grants, came to 13 of 10 (decide/test_retry_budget, test_late_sends, fails without). Also from it: a repeat granted from the slack was acquired twice, and its waiting state outlived it; a repeat could be sent at any time behind its grant where connecting took long; claims are kept by slice, so that several failing services fit; a wait is counted and logged once, and only while a claim is under way; an attempt of which nothing was sent is no repeat.

--- a/packages/decide/include/cs/retry_budget.h
+++ b/packages/decide/include/cs/retry_budget.h
@@ -8,9 +8,10 @@
  * burst at another; callers unevenly spread; daemons that are killed and started in series, or cut
  * off from the store and from one another, so that none knows how many there are.
  *
- * The share of a daemon needs no knowledge of the others. In each window up to now its repeats are
- * at most ratio / 2 times its own requests of that window and the one before. That sums over any
- * daemons, also those that come and go, to at most ratio times the larger of both.
+ * The share of a daemon needs no knowledge of the others. The repeats that it has granted, and that
+ * may be sent in a window up to now, are at most ratio / 2 times its own requests of that window
+ * and the one before. That sums over any daemons, also those that come and go, to at most ratio
+ * times the larger of both.
  *
  * The slack is one for the fleet. A daemon that needs a part of it appends a claim to the notes
  * that all daemons read, and may use it, for a short time since it was sent, once it has read the
@@ -31,13 +32,14 @@
 #include "cs/rng.h"
 
 enum {
-	CS_RETRY_SERVICES = 64,  /* with a budget; one more gets no repeats */
-	CS_RETRY_SLICES = 100,   /* in which a window is counted */
-	CS_RETRY_CLAIMS = 1024,  /* of all daemons that are known */
-	CS_RETRY_OWN_CLAIMS = 8, /* of one service in use */
-	CS_RETRY_SEND_MS = 500,  /* a repeat is sent within this time of its grant */
-	CS_RETRY_MIN_CLAIMS = 8, /* a claim is for at most this part of the slack */
-	CS_RETRY_CLAIM_MS = 400  /* a claim that is granted mostly is within this time */
+	CS_RETRY_SERVICES = 64,              /* with a budget; one more gets no repeats */
+	CS_RETRY_SLICES = 100,               /* in which a window is counted */
+	CS_RETRY_CLAIMS = 4096,              /* services times slices in which claims were heard */
+	CS_RETRY_OWN_CLAIMS = 8,             /* of one service in use */
+	CS_RETRY_RING = 3 * CS_RETRY_SLICES, /* two windows, and the time until a grant is sent */
+	CS_RETRY_SEND_MS = 500,              /* a repeat is sent within this time of its grant */
+	CS_RETRY_MIN_CLAIMS = 8,             /* a claim is for at most this part of the slack */
+	CS_RETRY_CLAIM_MS = 400 /* a claim that is granted mostly is within this time */
 };
 
 /* What the fleet is allowed, for each service. */
@@ -65,22 +67,21 @@
 	char *name;
 	uint64_t hash; /* of the name */
 	int64_t used_ms;
-	int64_t slice; /* the newest; counts are indexed by slice % (2 * CS_RETRY_SLICES + 1) */
-	uint32_t requests[2 * CS_RETRY_SLICES + 1];
-	uint32_t repeats[2 * CS_RETRY_SLICES + 1];  /* of the share */
+	int64_t slice; /* the newest; counts are indexed by slice % CS_RETRY_RING */
+	uint32_t requests[CS_RETRY_RING];
+	uint32_t repeats[CS_RETRY_RING];            /* of the share */
 	cs_retry_part_t parts[CS_RETRY_OWN_CLAIMS]; /* of the slack, granted to this daemon */
 	uint64_t pending_id;                        /* claim that was not read back yet; 0: none */
 	uint32_t pending_n;
-	int64_t pending_ms;                      /* when it was sent */
-	uint32_t wants[2 * CS_RETRY_SLICES + 1]; /* repeats that needed slack */
-	int64_t wanted_ms;                       /* the last one; 0: none since the last claim */
+	int64_t pending_ms;            /* when it was sent */
+	uint32_t wants[CS_RETRY_RING]; /* repeats that needed slack */
+	int64_t wanted_ms;             /* the last one; 0: none since the last claim */
 } cs_retry_service_t;
 
 typedef struct {
 	uint64_t service; /* hash of its name */
-	uint32_t n;
-	int64_t heard_ms;
-	int64_t until_ms; /* no repeat of it counts in a window that begins later */
+	uint64_t n;       /* of all that were heard in one slice */
+	int64_t until_ms; /* no repeat of them counts in a window that begins later */
 } cs_retry_claimed_t;
 
 typedef struct {
@@ -134,9 +135,11 @@
 void cs_retry_budget_count_request (cs_retry_budget_t *b, const char *service, int64_t received_ms,
 				    int64_t now_ms);
 /* Decides on one more attempt of a request, and charges it if it is granted. A grant that was not
- * used within CS_RETRY_SEND_MS must be acquired anew. */
+ * used within CS_RETRY_SEND_MS must be acquired anew. is_again: it was denied before, and waits. */
 cs_retry_decision_t cs_retry_budget_acquire (cs_retry_budget_t *b, const char *service,
-					     int64_t now_ms);
+					     bool is_again, int64_t now_ms);
+/* True if a claim is under way that may grant a repeat that was denied. */
+bool cs_retry_budget_may_come (cs_retry_budget_t *b, const char *service, int64_t now_ms);
 /* True if a claim is to be appended now, which counts as sent then; its name is owned by b. */
 bool cs_retry_budget_next_claim (cs_retry_budget_t *b, int64_t now_ms, cs_retry_claim_t *out);
 /* Called for each record of the notes before what it says is applied, and with n 0 for the place
--- a/packages/decide/src/retry_budget.c
+++ b/packages/decide/src/retry_budget.c
@@ -7,12 +7,12 @@
 #include "cs/str.h"
 
 enum {
-	RING = 2 * CS_RETRY_SLICES + 1,
+	RING = CS_RETRY_RING,
 	SHARE_PERCENT =
-		90,       /* the rest covers requests that are counted later than they were sent */
-	USE_PERCENT = 12, /* of a window: a part of the slack is used within it */
+		95,       /* the rest covers requests that are counted later than they were sent */
+	USE_PERCENT = 10, /* of a window: a part of the slack is used within it */
 	WANTED_MS = 500,  /* for which a want of slack holds */
-	SUPPLY_MS = 100,  /* for which a claim is to last: until the next one is granted */
+	SUPPLY_MS = 250,  /* for which a claim is to last: until the next one is granted */
 	MS_PER_S = 1000,
 	FIRST_ERA = 1, /* of a store that was never restored from a copy */
 	LOW_SHARE = 2  /* repeats left below which slack is claimed ahead */
@@ -51,6 +51,8 @@
 {
 	memset (b, 0, sizeof *b);
 	b->limits = *limits;
+	if (b->limits.window_ms < CS_RETRY_SLICES)
+		b->limits.window_ms = CS_RETRY_SLICES;
 	b->next_id = seed;
 	b->is_new_fleet = is_new_fleet;
 	cs_rng_init (&b->rng, seed);
@@ -76,6 +78,8 @@
 {
 	bool is_other_window = b->limits.window_ms != limits->window_ms;
 	b->limits = *limits;
+	if (b->limits.window_ms < CS_RETRY_SLICES)
+		b->limits.window_ms = CS_RETRY_SLICES;
 	if (!is_other_window)
 		return;
 	/* Slices of another length can't be counted on. */
@@ -158,22 +162,32 @@
 		s->requests[slice % RING]++;
 }
 
-/* Fills in the counts of the last window. Returns whether one more repeat keeps, for each window
- * that holds it and began with a repeat, within the share. */
+/* Slices within which a grant is sent. */
+static int64_t
+send_slices (const cs_retry_budget_t *b)
+{
+	int64_t n = ((int64_t)CS_RETRY_SEND_MS * CS_RETRY_SLICES + b->limits.window_ms - 1) /
+		    b->limits.window_ms;
+	return n < RING - 2 * CS_RETRY_SLICES ? n : RING - 2 * CS_RETRY_SLICES - 1;
+}
+
+/* Fills in the counts. Returns whether one more repeat keeps within the share for each window that
+ * it may be sent in. Grants of slice i and later may be sent in the window that begins a sending
+ * time behind i. */
 static bool
 share_allows (const cs_retry_budget_t *b, const cs_retry_service_t *s, cs_retry_decision_t *d)
 {
 	double factor = b->limits.ratio * SHARE_PERCENT / 100 / 2;
+	int64_t send = send_slices (b);
+	int64_t request = s->slice + 1; /* those from this slice on are counted */
 	bool fits = true;
 	/* Slices in part outside of a window count as inside for repeats and as outside for
 	 * requests. */
-	for (int64_t i = s->slice; i > s->slice - CS_RETRY_SLICES; i--)
-		d->requests += s->requests[i % RING];
-	for (int64_t i = s->slice; i >= s->slice - CS_RETRY_SLICES; i--) {
+	for (int64_t i = s->slice; i >= s->slice - CS_RETRY_SLICES - send; i--) {
+		while (request > i + send - CS_RETRY_SLICES + 1)
+			d->requests += s->requests[--request % RING];
 		d->repeats += s->repeats[i % RING];
 		fits &= d->repeats + 1 <= factor * d->requests;
-		if (i > s->slice - CS_RETRY_SLICES)
-			d->requests += s->requests[(i - CS_RETRY_SLICES) % RING];
 	}
 	d->allowed = (uint32_t)(factor * d->requests);
 	return fits;
@@ -216,9 +230,9 @@
 }
 
 static void
-want_slack (cs_retry_service_t *s, int64_t now_ms)
+want_slack (cs_retry_service_t *s, bool is_again, int64_t now_ms)
 {
-	s->wants[s->slice % RING]++;
+	s->wants[s->slice % RING] += !is_again;
 	s->wanted_ms = now_ms;
 }
 
@@ -256,7 +270,7 @@
 }
 
 cs_retry_decision_t
-cs_retry_budget_acquire (cs_retry_budget_t *b, const char *service, int64_t now_ms)
+cs_retry_budget_acquire (cs_retry_budget_t *b, const char *service, bool is_again, int64_t now_ms)
 {
 	cs_retry_decision_t d = {0};
 	cs_retry_service_t *s = find_or_add (b, service, now_ms);
@@ -270,12 +284,10 @@
 		d.repeats++;
 		s->repeats[s->slice % RING]++;
 		if (d.repeats + LOW_SHARE > d.allowed && !d.slack_left)
-			want_slack (s, now_ms);
+			want_slack (s, is_again, now_ms);
 		return d;
 	}
-	want_slack (s, now_ms);
-	d.may_come =
-		may_claim (b, now_ms) && (is_pending (b, s, now_ms) || d.claimed < b->limits.slack);
+	want_slack (s, is_again, now_ms);
 	if (!d.slack_left)
 		return d;
 	d.grant = CS_RETRY_GRANT_SLACK;
@@ -284,6 +296,13 @@
 	return d;
 }
 
+bool
+cs_retry_budget_may_come (cs_retry_budget_t *b, const char *service, int64_t now_ms)
+{
+	const cs_retry_service_t *s = find_or_add (b, service, now_ms);
+	return s && may_claim (b, now_ms) && is_pending (b, s, now_ms);
+}
+
 static bool
 wants_claim (const cs_retry_budget_t *b, const cs_retry_service_t *s, int64_t now_ms)
 {
@@ -296,11 +315,13 @@
 static bool
 gives_way (cs_retry_budget_t *b, uint64_t service, uint32_t room, int64_t now_ms)
 {
-	uint32_t heard = 0;
+	uint64_t heard = 0;
+	int64_t since_ms = now_ms + claim_lasts_ms (b) - MS_PER_S;
 	for (size_t i = 0; i < b->n_claims; i++)
-		if (b->claims[i].service == service && now_ms - b->claims[i].heard_ms < MS_PER_S)
+		if (b->claims[i].service == service && b->claims[i].until_ms > since_ms)
 			heard += b->claims[i].n;
-	return heard > room && cs_rng_below (&b->rng, heard) >= room;
+	heard = heard < UINT32_MAX ? heard : UINT32_MAX;
+	return heard > room && cs_rng_below (&b->rng, (uint32_t)heard) >= room;
 }
 
 bool
@@ -311,9 +332,10 @@
 	for (size_t i = 0; i < b->n_services; i++) {
 		cs_retry_service_t *s = b->services[i];
 		uint32_t slack = (uint32_t)b->limits.slack;
+		if (!wants_claim (b, s, now_ms))
+			continue;
 		uint32_t taken = claimed (b, s->hash, now_ms);
-		if (!wants_claim (b, s, now_ms) || taken >= slack ||
-		    gives_way (b, s->hash, slack - taken, now_ms))
+		if (taken >= slack || gives_way (b, s->hash, slack - taken, now_ms))
 			continue;
 		s->pending_n = claim_size (b, s, slack - taken);
 		s->wanted_ms = 0;
@@ -342,16 +364,23 @@
 static void
 add_claimed (cs_retry_budget_t *b, int64_t now_ms, uint64_t service, const cs_retry_claim_t *c)
 {
+	int64_t slice_ms = b->limits.window_ms / CS_RETRY_SLICES;
+	int64_t until_ms = (now_ms + claim_lasts_ms (b)) / slice_ms * slice_ms + slice_ms;
 	size_t kept = 0;
 	for (size_t i = 0; i < b->n_claims; i++)
 		if (b->claims[i].until_ms > now_ms)
 			b->claims[kept++] = b->claims[i];
 	b->n_claims = kept;
+	for (size_t i = 0; i < kept; i++) {
+		if (b->claims[i].service != service || b->claims[i].until_ms != until_ms)
+			continue;
+		b->claims[i].n += c->n;
+		return;
+	}
 	if (kept == CS_RETRY_CLAIMS)
 		wait_for_claims_to_end (b, now_ms);
 	else
-		b->claims[b->n_claims++] =
-			(cs_retry_claimed_t){service, c->n, now_ms, now_ms + claim_lasts_ms (b)};
+		b->claims[b->n_claims++] = (cs_retry_claimed_t){service, c->n, until_ms};
 }
 
 /* The pending claim is granted if the claims before it leave room, and time is left to use it. */
--- a/packages/forward/src/attempt_end.c
+++ b/packages/forward/src/attempt_end.c
@@ -75,6 +75,17 @@
 		cs_answer_timeout_record_timeout (&f->answer_timeout, now, s->service);
 }
 
+static void
+log_repeat (const cs_call_t *c, const cs_retry_decision_t *d, const char *reason)
+{
+	cs_log_event ("forward", d->grant ? "repeat" : "repeat_denied",
+		      "id=%.*s service=%s from=%s reason=%s tries=%u repeats=%u requests=%u "
+		      "allowed=%u slack_left=%u claimed=%u",
+		      CS_STR_ARG (cs_call_id (c)), c->service, cs_retry_grant_name (d->grant),
+		      reason, c->tries, d->repeats, d->requests, d->allowed, d->slack_left,
+		      d->claimed);
+}
+
 /* Charges the budget of repeats and sets delay_ms. False if the budget is used up or too little
  * time is left; c->awaits_claim is then true if a claim may allow it in a moment. */
 static bool
@@ -82,38 +93,50 @@
 {
 	cs_forward_t *f = c->forward;
 	int64_t now = cs_now_ms ();
+	bool is_again = c->awaits_claim;
 	cs_retry_decision_t d = {0};
 	*delay_ms = cs_rng_below (&f->rng, REPEAT_JITTER_MS);
 	bool is_late = now + *delay_ms >= c->expires_ms;
 	if (!is_late)
-		d = cs_retry_budget_acquire (&f->retry_budget, c->service, now);
+		d = cs_retry_budget_acquire (&f->retry_budget, c->service, is_again, now);
 	bool is_granted = d.grant != CS_RETRY_GRANT_NONE;
+	cs_notes_claim_repeats (f);
 	c->granted_ms = now;
-	if (!c->awaits_claim)
+	if (!is_again)
 		c->repeat_until_ms = now + CS_RETRY_CLAIM_MS;
-	c->awaits_claim = d.may_come && now + CLAIM_CHECK_MS < c->expires_ms &&
-			  now + CLAIM_CHECK_MS <= c->repeat_until_ms;
-	cs_notes_claim_repeats (f);
-	cs_service_counts_repeat (f, c->service, is_granted);
-	cs_log_event ("forward", is_granted ? "repeat" : "repeat_denied",
-		      "id=%.*s service=%s from=%s reason=%s tries=%u repeats=%u requests=%u "
-		      "allowed=%u slack_left=%u claimed=%u",
-		      CS_STR_ARG (cs_call_id (c)), c->service, cs_retry_grant_name (d.grant),
-		      is_late           ? "late"
-		      : is_granted      ? "allowed"
-		      : c->awaits_claim ? "claims"
-					: "budget",
-		      c->tries, d.repeats, d.requests, d.allowed, d.slack_left, d.claimed);
+	c->awaits_claim = !is_granted && !is_late && now + CLAIM_CHECK_MS < c->expires_ms &&
+			  now + CLAIM_CHECK_MS <= c->repeat_until_ms &&
+			  cs_retry_budget_may_come (&f->retry_budget, c->service, now);
+	if (c->awaits_claim && is_again)
+		return false;
+	if (!c->awaits_claim)
+		cs_service_counts_repeat (f, c->service, is_granted);
+	log_repeat (c, &d,
+		    is_late           ? "late"
+		    : is_granted      ? "allowed"
+		    : c->awaits_claim ? "claims"
+				      : "budget");
 	return is_granted;
 }
 
+/* What no back end has received before is no repeat. */
+static bool
+may_send_again (cs_call_t *c, int64_t *delay_ms)
+{
+	if (c->n_arrived)
+		return acquire_repeat (c, delay_ms);
+	c->granted_ms = cs_now_ms ();
+	*delay_ms = cs_rng_below (&c->forward->rng, REPEAT_JITTER_MS);
+	return c->granted_ms + *delay_ms < c->expires_ms;
+}
+
 bool
 cs_attempt_keeps_grant (cs_call_t *c)
 {
 	int64_t delay_ms;
 	if (!c->awaits_claim && cs_now_ms () - c->granted_ms <= CS_RETRY_SEND_MS)
 		return true;
-	return acquire_repeat (c, &delay_ms);
+	return may_send_again (c, &delay_ms);
 }
 
 /* The copy of an earlier refusal looks the same if this id was there before. */
@@ -214,6 +237,8 @@
 	int64_t delay_ms = s->retry_delay_ms;
 	uint32_t retry_after_ms;
 	c->n_broken += a->end == CS_ATTEMPT_BROKEN;
+	c->n_arrived += a->end != CS_ATTEMPT_NOT_SENT;
+	c->awaits_claim = false;
 	record_result (s, a);
 	cs_queue_record_attempt_end (s);
 	cs_counts_attempt_ended (a);
@@ -225,7 +250,7 @@
 		if ((then == CS_NEXT_RETRY || then == CS_NEXT_RESUME) && !s->retry_granted &&
 		    (cs_crashes_is_refused (c, &retry_after_ms) ||
 		     (a->end == CS_ATTEMPT_BROKEN && cs_crashes_is_doubtful (c)) ||
-		     !acquire_repeat (c, &delay_ms))) {
+		     !may_send_again (c, &delay_ms))) {
 			state.may_repeat = false;
 			cs_next_step_t without = cs_outcome_next_step (a, &state);
 			c->awaits_claim &= without != CS_NEXT_DELIVER;
--- a/packages/forward/src/backend_request.c
+++ b/packages/forward/src/backend_request.c
@@ -447,6 +447,14 @@
 	c->events.needs_id = tokens > 0;
 }
 
+/* A repeat is sent within the time for which it was granted. */
+static int64_t
+not_after_ms (const cs_call_t *c)
+{
+	int64_t granted_until_ms = c->granted_ms + CS_RETRY_SEND_MS;
+	return c->tries && granted_until_ms < c->expires_ms ? granted_until_ms : c->expires_ms;
+}
+
 static void
 init_http (cs_backend_request_t *s, const cs_backend_t *b)
 {
@@ -459,7 +467,7 @@
 		.headers = s->headers,
 		.connect_timeout_ms = CONNECT_MS,
 		.idle_timeout_ms = (uint32_t)(c->expires_ms - s->sent_us / 1000) + 1,
-		.not_after_ms = c->expires_ms,
+		.not_after_ms = not_after_ms (c),
 		.ends_by_close = true,
 		.tag = cs_hash (cs_call_id (c)),
 		.on_header = on_header,
--- a/packages/forward/src/forward.h
+++ b/packages/forward/src/forward.h
@@ -149,6 +149,7 @@
 	struct MHD_Connection *connection;
 	cs_call_phase_t phase;
 	uint64_t number;    /* unique within this process */
+	uint32_t n_arrived; /* attempts of which a back end may have received something */
 	int64_t granted_ms; /* when a repeat was last acquired */
 	bool awaits_claim;  /* no repeat was granted, but one may be until repeat_until_ms */
 	int64_t repeat_until_ms;
