--- a/packages/decide/src/retry_budget.c
+++ b/packages/decide/src/retry_budget.c
@@ -222,6 +222,8 @@
 static uint32_t
 claimed (const cs_retry_budget_t *b, uint64_t service, int64_t now_ms)
 {
+	if (b->disabled & CS_RETRY_BUDGET_NO_ROOM)
+		return 0;
 	uint64_t n = 0;
 	for (size_t i = 0; i < b->n_claims; i++)
 		if (b->claims[i].service == service && b->claims[i].until_ms > now_ms)
@@ -321,7 +323,8 @@
 		if (b->claims[i].service == service && b->claims[i].until_ms > since_ms)
 			heard += b->claims[i].n;
 	heard = heard < UINT32_MAX ? heard : UINT32_MAX;
-	return heard > room && cs_rng_below (&b->rng, (uint32_t)heard) >= room;
+	return !(b->disabled & CS_RETRY_BUDGET_NO_ROOM) && heard > room &&
+	       cs_rng_below (&b->rng, (uint32_t)heard) >= room;
 }
 
 bool
@@ -389,8 +392,7 @@
 {
 	uint32_t taken = claimed (b, s->hash, now_ms);
 	int64_t until_ms = s->pending_ms + use_ms (b);
-	bool fits = taken + s->pending_n <= (uint32_t)b->limits.slack ||
-		    (b->disabled & CS_RETRY_BUDGET_NO_ROOM);
+	bool fits = taken + s->pending_n <= (uint32_t)b->limits.slack;
 	s->pending_id = 0;
 	if (!fits || now_ms >= until_ms || now_ms < b->claims_from_ms)
 		return false;
