--- a/testing/support_server.c
+++ b/testing/support_server.c
@@ -189,6 +189,14 @@
 		send_all (c->io.fd, bytes);
 }
 
+void
+stub_server_send_on (stub_server_t *s, int number, const char *bytes)
+{
+	for (stub_connection_t *c = s->first; c; c = c->next)
+		if (c->number == number)
+			send_all (c->io.fd, bytes);
+}
+
 size_t
 stub_server_send_nonblocking (stub_server_t *s, cs_str_t bytes)
 {
--- a/testing/support_server.h
+++ b/testing/support_server.h
@@ -37,6 +37,8 @@
 void stub_server_finish (stub_server_t *s);
 /* Sends the bytes on every open connection. */
 void stub_server_send (stub_server_t *s, const char *bytes);
+/* Sends the bytes on the connection with this number, if it is open. */
+void stub_server_send_on (stub_server_t *s, int number, const char *bytes);
 /* Sends on the most recently accepted open connection as many of the bytes as the socket accepts
  * without blocking. Returns the number of bytes sent; 0 on error or without a connection. */
 size_t stub_server_send_nonblocking (stub_server_t *s, cs_str_t bytes);
