forward: a connection is closed behind a refusal

Callers got 502 for requests that ran: the copy of an earlier refusal came on their connection ahead of their answer, and an answer that names another request ends the attempt. Cause: a connection on which a refusal was believed was used again, though its copy may follow. No bounded memory of ids can tell for how long.

Only a whole signed answer of the request leaves its connection to the next one now. So no copy of a refusal can come to any request, whatever the number of ids that a connection remembers; the rule for ids is left for repeated answers. The rest of a refusal's body was read so that its connection could be used again; that is gone.

--- a/packages/forward/src/backend_request.c
+++ b/packages/forward/src/backend_request.c
@@ -24,10 +24,8 @@
 			   timeouts at the earliest */
 	RETRY_CHECK_MS =
 		250, /* interval of checks whether another attempt can replace a stalled one */
-	MIN_EXCESSIVE_BYTES = 64 << 10, /* a shorter answer that finds no memory is no fault of its
+	MIN_EXCESSIVE_BYTES = 64 << 10 /* a shorter answer that finds no memory is no fault of its
 					   back end */
-	MAX_DROPPED_BYTES = 64 << 10    /* of a body that is not kept, so that its connection can be
-					   used again */
 };
 
 static cs_counter_t bad_answers = {.name = "cs_forward_bad_answers_total",
@@ -225,7 +223,8 @@
 	};
 }
 
-/* Closes the connection: nothing behind the head counts. */
+/* Closes the connection: nothing behind the head counts. Behind a refusal, its copy could follow
+ * and be read as the answer to a later request. */
 static void
 stop_at_head (cs_backend_request_t *s)
 {
@@ -267,14 +266,15 @@
 		       cs_str_starts_nocase (content_type, "text/event-stream");
 	const cs_attempt_t answered = result_of (s, CS_ATTEMPT_ANSWERED);
 	cs_run_t run = cs_outcome_run (&answered);
-	s->keeps_body = run == CS_RUN_YES;
 	/* Callers request no content coding, so these bytes are not what the back end sent. */
 	if (cs_headers_find (&s->answer_headers, "Content-Encoding").n)
 		reject_answer (s, "content coding");
-	else if (s->is_stream && !s->keeps_body)
+	else if (s->is_stream && run != CS_RUN_YES)
 		reject_answer (s, "unsigned, or of another request");
 	else if (run == CS_RUN_MAYBE)
 		reject_foreign_answer (s);
+	else if (run == CS_RUN_NO)
+		stop_at_head (s);
 }
 
 /* Records the response time when the first byte or event arrives. */
@@ -347,19 +347,6 @@
 	pass_on (s, is_event);
 }
 
-/* Only the head of such an answer counts. */
-static void
-drop_bytes (cs_backend_request_t *s, size_t n)
-{
-	s->dropped_bytes += n;
-	if (s->dropped_bytes <= MAX_DROPPED_BYTES)
-		return;
-	cs_log_event ("forward", "body_dropped", "id=%.*s back_end=%s status=%d bytes=%zu",
-		      CS_STR_ARG (cs_call_id (s->call)), s->backend_id, s->status,
-		      s->dropped_bytes);
-	stop_at_head (s);
-}
-
 static void
 on_body (cs_http_call_t *http, cs_str_t bytes)
 {
@@ -371,9 +358,7 @@
 		return;
 	}
 	record_first_byte (s, cs_now_us ());
-	if (!s->keeps_body)
-		drop_bytes (s, bytes.n);
-	else if (hold_bytes (s, s->body.n + bytes.n))
+	if (hold_bytes (s, s->body.n + bytes.n))
 		cs_buf_add (&s->body, bytes);
 }
 
--- a/packages/forward/src/forward.h
+++ b/packages/forward/src/forward.h
@@ -118,9 +118,7 @@
 	bool timed_out;          /* cancelled because the request's timeout passed */
 	bool malformed;          /* the answer cannot be forwarded */
 	bool is_blameless;       /* malformed only for want of memory in this daemon */
-	bool keeps_body;         /* the head shows that the back end answers this request */
-	size_t dropped_bytes;    /* of a body that is not kept */
-	bool head_suffices;      /* cancelled at the head or within a body that is not kept */
+	bool head_suffices;      /* cancelled at the head */
 	ev_timer progress_timer; /* expires when no progress was made in time */
 	int64_t due_ms;          /* when progress_timer expires */
 	bool is_extended;        /* progress_timer was started again once, after a pause of this
