--- a/packages/decide/src/retry_budget.c
+++ b/packages/decide/src/retry_budget.c
@@ -15,7 +15,6 @@
 	SUPPLY_MS = 250,  /* for which a claim is to last: until the next one is granted */
 	MS_PER_S = 1000,
 	FIRST_ERA = 1, /* of a store that was never restored from a copy */
-	LOW_SHARE = 2  /* repeats left below which slack is claimed ahead */
 };
 
 /* Also the slices of the two windows before a time near 0 are positive. */
@@ -285,8 +284,6 @@
 		d.grant = CS_RETRY_GRANT_SHARE;
 		d.repeats++;
 		s->repeats[s->slice % RING]++;
-		if (d.repeats + LOW_SHARE > d.allowed && !d.slack_left)
-			want_slack (s, is_again, now_ms);
 		return d;
 	}
 	want_slack (s, is_again, now_ms);
