forward: a repeat is charged only if a back end can take it

Callers of a service that refuses got 176 of 240 allowed repeats in 10 s: each request that every back end had refused was charged once more before no other back end was found.

--- a/packages/forward/src/attempt_end.c
+++ b/packages/forward/src/attempt_end.c
@@ -130,6 +130,13 @@
 	return c->granted_ms + *delay_ms < c->expires_ms;
 }
 
+/* A back end that has ended may be back, or another one listed, when the repeat is due. */
+static bool
+has_next (const cs_backend_request_t *s, const cs_attempt_t *a)
+{
+	return a->end == CS_ATTEMPT_BROKEN || cs_dispatch_has_any (s->call, s->service);
+}
+
 bool
 cs_attempt_keeps_grant (cs_call_t *c)
 {
@@ -250,7 +257,7 @@
 		if ((then == CS_NEXT_RETRY || then == CS_NEXT_RESUME) && !s->retry_granted &&
 		    (cs_crashes_is_refused (c, &retry_after_ms) ||
 		     (a->end == CS_ATTEMPT_BROKEN && cs_crashes_is_doubtful (c)) ||
-		     !may_send_again (c, &delay_ms))) {
+		     !has_next (s, a) || !may_send_again (c, &delay_ms))) {
 			state.may_repeat = false;
 			cs_next_step_t without = cs_outcome_next_step (a, &state);
 			c->awaits_claim &= without != CS_NEXT_DELIVER;
--- a/packages/forward/src/dispatch.c
+++ b/packages/forward/src/dispatch.c
@@ -51,6 +51,14 @@
 	return status;
 }
 
+bool
+cs_dispatch_has_any (cs_call_t *c, const char *service)
+{
+	cs_route_t chosen;
+	cs_targets_refresh (c->forward);
+	return pick (c, service, &chosen) == CS_OK;
+}
+
 bool
 cs_dispatch_has_other (cs_call_t *c, const char *service)
 {
--- a/packages/forward/src/forward.h
+++ b/packages/forward/src/forward.h
@@ -254,7 +254,9 @@
 void cs_dispatch (cs_call_t *c);
 /* Dispatches a queued request. False if all back ends are still at capacity. */
 bool cs_dispatch_queued (cs_call_t *c, const char *service);
-/* True if a back end that was not tried before, and is no suspect, accepts the request now. */
+/* True if a back end that was not tried before accepts the request now. */
+bool cs_dispatch_has_any (cs_call_t *c, const char *service);
+/* The same for one that is no suspect. */
 bool cs_dispatch_has_other (cs_call_t *c, const char *service);
 void cs_dispatch_refuse (cs_call_t *c, const char *reason, uint32_t retry_after_ms);
 /* queue.c */
