--- a/packages/decide/tests/invariant_retry_budget.c
+++ b/packages/decide/tests/invariant_retry_budget.c
@@ -358,8 +358,8 @@
 		e->next = w->free_events;
 		w->free_events = e;
 	}
-	for (uint8_t service = 0; service < N_SERVICES; service++)
-		send_requests (w, service);
+	send_requests (w, FAILING);
+	send_requests (w, SOUND);
 }
 
 static void
@@ -450,7 +450,8 @@
 granted_part (const world_t *w)
 {
 	double granted = 0, allowed = 0;
-	for (int64_t from = 2 * WINDOW_MS; from + WINDOW_MS <= w->end_ms; from += WINDOW_MS / 2) {
+	for (int64_t from = INT64_C (2) * WINDOW_MS; from + WINDOW_MS <= w->end_ms;
+	     from += WINDOW_MS / 2) {
 		double most = allowed_from (w, from);
 		size_t n = count_between (&w->repeats, from, from + WINDOW_MS);
 		if (!count_between (&w->denied, from, from + WINDOW_MS))
@@ -535,7 +536,7 @@
 		w->burst[SOUND] = cases[i].burst;
 		w->end_ms = 60000;
 		w->burst_to_ms = w->end_ms;
-		w->fails_from_ms = 2 * WINDOW_MS;
+		w->fails_from_ms = INT64_C (2) * WINDOW_MS;
 		w->limits = (cs_retry_limits_t){0.2, cases[i].slack, WINDOW_MS};
 		play (w);
 		double part = granted_part (w);
--- a/packages/decide/tests/test_formation.c
+++ b/packages/decide/tests/test_formation.c
@@ -925,7 +925,7 @@
 		const cs_serving_service_t service = {.loads_per_s = cases[i].rate};
 		uint32_t window = cases[i].window_s * 1000 / TICK_MS, in_window = 0, most = 0;
 		cs_formation_init (&f);
-		f.load_window_ms = cases[i].window_s * 1000;
+		f.load_window_ms = INT64_C (1000) * cases[i].window_s;
 		f.load_overshoot = cases[i].overshoot;
 		for (uint32_t t = 0; t < N_TICKS; t++) {
 			v.now_ms = START_MS + t * TICK_MS;
