--- a/packages/decide/include/cs/retry.h
+++ b/packages/decide/include/cs/retry.h
@@ -64,13 +64,6 @@
 	int64_t deadline_ms; /* 0: none */
 } cs_retry_attempt_t;
 
-/* What the budget was last decided on. */
-typedef struct {
-	uint64_t firsts;
-	uint64_t retries;
-	uint64_t allowed;
-} cs_retry_window_t;
-
 void cs_retry_init (cs_retry_t *r, const cs_retry_options_t *options);
 void cs_retry_set_percent (cs_retry_t *r, uint32_t percent);
 /* Counts a request's first try. */
@@ -80,7 +73,6 @@
  * CS_RETRY_ALLOWED. */
 cs_retry_verdict_t cs_retry_decide (cs_retry_t *r, int64_t now_ms, const cs_retry_attempt_t *failed,
 				    int64_t *delay_ms, cs_retry_reason_t *reason);
-cs_retry_window_t cs_retry_window (const cs_retry_t *r);
 const char *cs_retry_reason_name (cs_retry_reason_t reason);
 
 #endif
--- a/packages/decide/src/retry.c
+++ b/packages/decide/src/retry.c
@@ -43,26 +43,20 @@
 	r->firsts[r->second % CS_RETRY_WINDOW_S]++;
 }
 
-cs_retry_window_t
-cs_retry_window (const cs_retry_t *r)
+static bool
+has_budget (const cs_retry_t *r)
 {
-	cs_retry_window_t w = {0};
+	uint64_t firsts = 0;
+	uint64_t retries = 0;
+	if (!r->options.percent)
+		return false;
 	for (int i = 0; i < CS_RETRY_WINDOW_S; i++) {
-		w.firsts += r->firsts[i];
-		w.retries += r->retries[i];
+		firsts += r->firsts[i];
+		retries += r->retries[i];
 	}
-	uint64_t share = w.firsts * r->options.percent / 100;
+	uint64_t share = firsts * r->options.percent / 100;
 	uint64_t minimum = (uint64_t)CS_RETRY_MIN_PER_S * CS_RETRY_WINDOW_S;
-	if (r->options.percent)
-		w.allowed = share > minimum ? share : minimum;
-	return w;
-}
-
-static bool
-has_budget (const cs_retry_t *r)
-{
-	cs_retry_window_t w = cs_retry_window (r);
-	return w.retries < w.allowed;
+	return retries < (share > minimum ? share : minimum);
 }
 
 /* Returns why no retry is allowed, or CS_RETRY_ALLOWED; does not consider the budget. */
--- a/packages/decide/src/retry_budget.c
+++ b/packages/decide/src/retry_budget.c
@@ -8,13 +8,12 @@
 
 enum {
 	RING = CS_RETRY_RING,
-	SHARE_PERCENT =
-		95,       /* the rest covers requests that are counted later than they were sent */
-	USE_PERCENT = 10, /* of a window: a part of the slack is used within it */
-	WANTED_MS = 500,  /* for which a want of slack holds */
-	SUPPLY_MS = 250,  /* for which a claim is to last: until the next one is granted */
+	SHARE_PERCENT = 95, /* the rest: requests that are received later than they are sent */
+	USE_PERCENT = 10,   /* of a window: a part of the slack is used within it */
+	WANTED_MS = 500,    /* for which a want of slack holds */
+	SUPPLY_MS = 250,    /* for which a claim is to last: until the next one is granted */
 	MS_PER_S = 1000,
-	FIRST_ERA = 1, /* of a store that was never restored from a copy */
+	FIRST_ERA = 1 /* of a store that was never restored from a copy */
 };
 
 /* Also the slices of the two windows before a time near 0 are positive. */
