--- a/packages/decide/include/cs/formation.h
+++ b/packages/decide/include/cs/formation.h
@@ -37,8 +37,6 @@
 	CS_FORMATION_OPENING_MS = 500,  /* a head serves 0.3 s after it has taken an open order */
 	CS_FORMATION_SILENT_PROBES = 2, /* in a row: a single probe may be lost */
 	CS_FORMATION_STALL_MS = 4000,   /* default of stall_ms */
-	CS_FORMATION_LOAD_WINDOW_MS =
-		5000, /* default of load_window_ms; that of load_overshoot is 1 */
 	CS_FORMATION_STALL_SLACK_MS = 300, /* timers of a head that breaks its group fire late */
 	CS_FORMATION_REPORT_LAG_MS = 500   /* a report may be as old as that */
 };
@@ -152,11 +150,7 @@
 	double load_tokens;        /* token bucket: loads that may begin */
 	uint32_t disabled;         /* cs_formation_disabled_t */
 	int64_t stall_ms;          /* after which a group that lacks a member is broken */
-	/* Of loads that begin, all back ends: in any window the rate's loads times the overshoot,
-	 * and a few more. */
-	int64_t load_window_ms;
-	double load_overshoot;
-	int64_t eager_until_ms; /* loads are not rate-limited before this time */
+	int64_t eager_until_ms;    /* loads are not rate-limited before this time */
 	bool caught_up;
 	cs_staging_t *staging;       /* uthash by back end: orders to stage weights */
 	size_t n_listed;             /* back ends listed at the last plan */
--- a/packages/decide/src/formation.c
+++ b/packages/decide/src/formation.c
@@ -87,8 +87,6 @@
 {
 	memset (f, 0, sizeof *f);
 	f->stall_ms = CS_FORMATION_STALL_MS;
-	f->load_window_ms = CS_FORMATION_LOAD_WINDOW_MS;
-	f->load_overshoot = 1;
 }
 
 void
@@ -305,25 +303,16 @@
 	return a && a->down_ms && e->described_ms <= a->down_ms && v->now_ms - a->down_ms < DOWN_MS;
 }
 
-/* With what the bucket is refilled by in a window this stays below the ceiling of the window, which
- * is a few loads above rate x window x overshoot. */
-static double
-load_burst (const cs_formation_t *f, double rate)
-{
-	enum {
-		MS_PER_S = 1000,
-		MORE_LOADS = 2 /* of the three that the ceiling adds */
-	};
-	double window_s = (double)f->load_window_ms / MS_PER_S;
-	return rate * window_s * (f->load_overshoot - 1) + MORE_LOADS;
-}
-
 bool
 cs_formation_take_load_token (cs_form_view_t *v, const cs_serving_service_t *service)
 {
+	enum {
+		BURST_PERCENT = 125 /* of one second's loads: with the refill of five seconds this
+				       stays within the platform's ceiling for five seconds */
+	};
 	cs_formation_t *f = v->f;
 	double rate = service->loads_per_s;
-	double burst = load_burst (f, rate);
+	double burst = rate * BURST_PERCENT / 100.;
 	v->loading++;
 	if (v->now_ms < f->eager_until_ms)
 		return true;
--- a/packages/decide/tests/test_formation.c
+++ b/packages/decide/tests/test_formation.c
@@ -899,52 +899,6 @@
 	}
 }
 
-/* Loads that begin as soon as they may, in any window, and after a pause. */
-static void
-test_load_ceiling (void **state)
-{
-	static const struct {
-		double rate;
-		uint32_t window_s;
-		double overshoot;
-	} cases[] = {
-		{0.2, 5, 1.1}, {0.5, 5, 1.1}, {1, 5, 1.1},   {4, 5, 1.1},
-		{5, 5, 1.1},   {8, 5, 1.1},   {14, 5, 1.1},  {77, 5, 1.1},
-		{14, 5, 1},    {14, 2, 1.1},  {14, 10, 1.5}, {400, 5, 1.1},
-	};
-	enum {
-		TICK_MS = 10,
-		PLAYED_MS = 40000,
-		N_TICKS = PLAYED_MS / TICK_MS
-	};
-	static uint32_t begun[N_TICKS];
-	(void)state;
-	for (size_t i = 0; i < CS_ARRAY_LEN (cases); i++) {
-		cs_formation_t f;
-		cs_form_view_t v = {&f, 0, NULL, NULL, 0};
-		const cs_serving_service_t service = {.loads_per_s = cases[i].rate};
-		uint32_t window = cases[i].window_s * 1000 / TICK_MS, in_window = 0, most = 0;
-		cs_formation_init (&f);
-		f.load_window_ms = INT64_C (1000) * cases[i].window_s;
-		f.load_overshoot = cases[i].overshoot;
-		for (uint32_t t = 0; t < N_TICKS; t++) {
-			v.now_ms = START_MS + t * TICK_MS;
-			begun[t] = 0;
-			bool rests = t > N_TICKS / 2 && t < N_TICKS / 2 + window;
-			while (!rests && cs_formation_take_load_token (&v, &service))
-				begun[t]++;
-			in_window += begun[t] - (t >= window ? begun[t - window] : 0);
-			most = in_window > most ? in_window : most;
-		}
-		double allowed = cases[i].rate * cases[i].window_s * cases[i].overshoot + 3;
-		if (most > allowed || most < cases[i].rate * cases[i].window_s)
-			print_message ("%g loads/s: %u in %u s, %.1f allowed\n", cases[i].rate,
-				       most, cases[i].window_s, allowed);
-		assert_true (most <= allowed);
-		assert_true (most >= cases[i].rate * cases[i].window_s);
-	}
-}
-
 int
 main (void)
 {
@@ -964,7 +918,6 @@
 		cmocka_unit_test (test_silent_head),
 		cmocka_unit_test (test_lost_records),
 		cmocka_unit_test (test_epochs),
-		cmocka_unit_test (test_load_ceiling),
 	};
 	return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/packages/former/src/former.c
+++ b/packages/former/src/former.c
@@ -275,10 +275,6 @@
 	cs_formation_init (&f->formation);
 	if (f->host->stall_ms)
 		f->formation.stall_ms = f->host->stall_ms;
-	if (f->host->load_window_ms)
-		f->formation.load_window_ms = f->host->load_window_ms;
-	if (f->host->load_overshoot > 0)
-		f->formation.load_overshoot = f->host->load_overshoot;
 	ev_timer_init (&f->plan_timer, on_plan_timer, PLAN_INTERVAL_MS / 1000.,
 		       PLAN_INTERVAL_MS / 1000.);
 	f->plan_timer.data = f;
