review: a caller's forged tenant reaches a back end

Cause: names of folded header lines are taken as they come and compared as whole names, so that "T:" and " enant: beta" pass the filter and are printed as a line "Tenant: beta:".

--- /dev/null
+++ b/review/stand-ins-2/edge_cases.c
@@ -0,0 +1,232 @@
+/* edge-cases NAME PROGRAM RECORD: plays a case against one daemon. Exits with 1 if the rule was
+ * broken, 0 if it held, 2 if the case could not run. With TROUBLE=0 in the environment it plays the
+ * same without the disruption. */
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "lab.h"
+
+enum {
+	HELD,
+	BROKEN,
+	CANNOT_RUN,
+	ANSWER_MS = 4000,
+	DEADLINE_MS = 3000,
+	TIMEOUT_MS = 2000, /* TimeoutMs of the routes */
+	LATE_MS = 500,     /* behind it the rule expects an answer */
+	MAX_TARGET_BYTES = 16000
+};
+
+/* Runs the case. */
+typedef int (*play_t) (lab_t *lab, bool trouble);
+
+static const char config[] =
+	"{\"Version\":1,\"Routes\":["
+	"{\"Name\":\"keyed\",\"Host\":\"h.example\",\"PathPrefix\":\"/keyed/\",\"Kind\":\"safe\","
+	"\"TimeoutMs\":2000,\"TargetLatencyMs\":300,\"Attempts\":2,\"Service\":\"plain\","
+	"\"Public\":false},"
+	"{\"Name\":\"open\",\"Host\":\"h.example\",\"PathPrefix\":\"/open/\",\"Kind\":\"safe\","
+	"\"TimeoutMs\":2000,\"TargetLatencyMs\":300,\"Attempts\":2,\"Service\":\"plain\","
+	"\"Public\":true},"
+	"{\"Name\":\"once\",\"Host\":\"h.example\",\"PathPrefix\":\"/once/\",\"Kind\":\"unsafe\","
+	"\"TimeoutMs\":2000,\"TargetLatencyMs\":300,\"Attempts\":1,\"Service\":\"plain\","
+	"\"Public\":true}],"
+	"\"Services\":[{\"Name\":\"plain\",\"HealthCheckPath\":\"/health\","
+	"\"ConnectionLimit\":244}],"
+	"\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":4194304,"
+	"\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000},"
+	"\"Tenants\":[{\"Name\":\"alpha\",\"ApiKeys\":[\"key-of-alpha\"],\"Priority\":1},"
+	"{\"Name\":\"beta\",\"ApiKeys\":[\"key-of-beta\"],\"Priority\":1}]}";
+
+static cs_str_t
+trim (cs_str_t s)
+{
+	while (s.n && strchr (" \t\r", s.p[0])) {
+		s.p++;
+		s.n--;
+	}
+	while (s.n && strchr (" \t\r", s.p[s.n - 1]))
+		s.n--;
+	return s;
+}
+
+/* The target with n parameters in its query. */
+static void
+make_target (char *out, const char *path, int n)
+{
+	size_t used = (size_t)snprintf (out, MAX_TARGET_BYTES, "%s", path);
+	for (int i = 0; i < n; i++)
+		used += (size_t)snprintf (out + used, MAX_TARGET_BYTES - used, "%cid=%d",
+					  i ? '&' : '?', 1000 + i);
+}
+
+static int
+read_status (connection_t *c)
+{
+	message_t m = {0};
+	int status = wire_read (c, &m, false) && m.complete ? m.status : 0;
+	wire_message_finish (&m);
+	return status;
+}
+
+/* Logs each line of the header, and counts those that have another value than the expected one;
+ * NULL: none is expected. */
+static int
+count_foreign (lab_t *lab, const arrival_t *a, const char *header, const char *expected)
+{
+	int n = 0;
+	cs_str_t head = cs_buf_str (&a->head);
+	while (head.n) {
+		cs_str_t line = cs_str_split (&head, '\n');
+		cs_str_t value = line;
+		cs_str_t name = cs_str_split (&value, ':');
+		if (name.n != strlen (header) || strncasecmp (name.p, header, name.n) != 0)
+			continue;
+		bool is_foreign = !expected || !cs_str_is (trim (value), expected);
+		fprintf (lab->record, "ran %s with \"%.*s\"%s\n", a->id, CS_STR_ARG (trim (line)),
+			 is_foreign ? ": not the caller's" : "");
+		n += is_foreign;
+	}
+	return n;
+}
+
+/* One request; the number of header lines at the back end that are not the caller's. */
+static int
+ask_forged (lab_t *lab, const char *id, const char *target, const char *lines, const char *tenant)
+{
+	connection_t c = lab_connect (lab, ANSWER_MS);
+	lab_send (lab, &c, id, target, lines, DEADLINE_MS);
+	int status = read_status (&c);
+	const arrival_t *a = lab_find (lab, id);
+	fprintf (lab->record, "answered %s: %d, %s\n", id, status, a ? "run" : "not run");
+	lab_close (&c);
+	return a ? count_foreign (lab, a, "Tenant", tenant) : 0;
+}
+
+static int
+play_forged_tenant (lab_t *lab, bool trouble)
+{
+	const char *forged = trouble ? "T:\r\n enant: beta\r\n" : "Tenant: beta\r\n";
+	char lines[128], id[40];
+	int n = 0;
+	for (int i = 0; i < 10; i++) {
+		snprintf (id, sizeof id, "keyed-%d", i);
+		snprintf (lines, sizeof lines, "%sX-Api-Key: key-of-alpha\r\n", forged);
+		n += ask_forged (lab, id, "/keyed/x", lines, "alpha");
+		snprintf (id, sizeof id, "open-%d", i);
+		n += ask_forged (lab, id, "/open/x", forged, NULL);
+	}
+	fprintf (lab->record, "header lines Tenant that are not the caller's: %d\n", n);
+	if (!lab->n_arrivals && !trouble)
+		return CANNOT_RUN;
+	return n ? BROKEN : HELD;
+}
+
+/* Two requests on a connection, the second one with n parameters. True if it was run, and the
+ * connection closed without an answer. */
+static bool
+is_lost (lab_t *lab, int n)
+{
+	static char target[MAX_TARGET_BYTES];
+	char id[40];
+	connection_t c = lab_connect (lab, ANSWER_MS);
+	snprintf (id, sizeof id, "first-%d", n);
+	lab_send (lab, &c, id, "/once/x", "", DEADLINE_MS);
+	int first = read_status (&c);
+	snprintf (id, sizeof id, "parameters-%d", n);
+	make_target (target, "/once/x", n);
+	lab_send (lab, &c, id, target, "", DEADLINE_MS);
+	int status = read_status (&c);
+	bool lost = first == 200 && !status && lab_find (lab, id);
+	fprintf (lab->record, "answered %s: %d, %s%s\n", id, status,
+		 lab_find (lab, id) ? "run" : "not run", lost ? ", lost" : "");
+	lab_close (&c);
+	return lost;
+}
+
+static int
+play_run_and_closed (lab_t *lab, bool trouble)
+{
+	enum {
+		FROM = 600,
+		TO = 684,
+		STEP = 2,
+		USUAL = 10,
+		MAX_LOST = 3
+	};
+	int n_lost = 0;
+	lab->n_answer_lines = 24;
+	for (int n = FROM; n < TO; n += STEP)
+		n_lost += is_lost (lab, trouble ? n : n / USUAL);
+	fprintf (lab->record, "run and closed without an answer: %d\n", n_lost);
+	return n_lost > MAX_LOST ? BROKEN : HELD;
+}
+
+static int
+play_unanswered (lab_t *lab, bool trouble)
+{
+	enum {
+		REQUESTS = 12,
+		MANY = 800,
+		FEW = 80,
+		WAIT_MS = 8000,
+		LEAST = 8
+	};
+	static char target[MAX_TARGET_BYTES];
+	connection_t c[REQUESTS];
+	int n_late = 0, n_long = 0;
+	make_target (target, "/open/x", trouble ? MANY : FEW);
+	for (int i = 0; i < REQUESTS; i++) {
+		char id[40];
+		snprintf (id, sizeof id, "request-%d", i);
+		c[i] = lab_connect (lab, TIMEOUT_MS);
+		lab_send (lab, &c[i], id, target, "", WAIT_MS);
+	}
+	int64_t sent_ms = wire_now_ms ();
+	bool open[REQUESTS];
+	for (int i = 0; i < REQUESTS; i++) {
+		int64_t left_ms = sent_ms + TIMEOUT_MS + LATE_MS - wire_now_ms ();
+		open[i] = !lab_wait (&c[i], left_ms > 0 ? left_ms : 0);
+	}
+	for (int i = 0; i < REQUESTS; i++) {
+		int64_t left_ms = sent_ms + WAIT_MS - wire_now_ms ();
+		bool came = lab_wait (&c[i], left_ms > 0 ? left_ms : 0);
+		fprintf (lab->record,
+			 "request-%d: %s %d ms behind the sending, %s by its deadline\n", i,
+			 open[i] ? "no answer" : "answered", TIMEOUT_MS + LATE_MS,
+			 came ? "answered" : "no answer");
+		n_long += open[i];
+		n_late += open[i];
+		lab_close (&c[i]);
+	}
+	fprintf (lab->record, "unanswered: %d of %d\n", n_late, REQUESTS);
+	return n_late >= LEAST && 4 * n_late > n_long ? BROKEN : HELD;
+}
+
+static const struct {
+	const char *name;
+	play_t play;
+} cases[] = {
+	{"forged-tenant", play_forged_tenant},
+	{"run-and-closed", play_run_and_closed},
+	{"unanswered", play_unanswered},
+};
+
+int
+main (int argc, char **argv)
+{
+	static lab_t lab;
+	const char *trouble = getenv ("TROUBLE");
+	play_t play = NULL;
+	for (size_t i = 0; argc == 4 && i < sizeof cases / sizeof *cases; i++)
+		if (!strcmp (cases[i].name, argv[1]))
+			play = cases[i].play;
+	if (!play)
+		return CANNOT_RUN;
+	int result = CANNOT_RUN;
+	if (lab_start (&lab, argv[2], argv[3], config))
+		result = play (&lab, !trouble || strcmp (trouble, "0") != 0);
+	lab_finish (&lab);
+	return result;
+}
--- /dev/null
+++ b/review/stand-ins-2/lab.c
@@ -0,0 +1,295 @@
+#include "lab.h"
+
+#include <fcntl.h>
+#include <poll.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <time.h>
+#include <unistd.h>
+
+enum {
+	CALLERS_PORT = 18227,
+	READY_PORT = 18220,
+	READY_MS = 15000,
+	HEARTBEAT_MS = 600,
+	TICK_MS = 50,
+	STOP_MS = 10000 /* GracePeriodS, and some for a busy machine */
+};
+
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+
+typedef struct {
+	lab_t *lab;
+	int fd;
+} client_t;
+
+static bool
+is_token (cs_str_t name)
+{
+	for (size_t i = 0; i < name.n; i++)
+		if (name.p[i] <= ' ' || name.p[i] == ':' || name.p[i] >= 0x7f)
+			return false;
+	return name.n > 0;
+}
+
+/* False if a header line is not NAME: VALUE with a sound name. */
+static bool
+is_sound (cs_str_t head)
+{
+	cs_str_split (&head, '\n'); /* the request line */
+	while (head.n) {
+		cs_str_t line = cs_str_split (&head, '\n');
+		if (!line.n || line.p[0] == '\r')
+			continue; /* the end of the head */
+		if (!memchr (line.p, ':', line.n) || !is_token (cs_str_split (&line, ':')))
+			return false;
+	}
+	return true;
+}
+
+static void
+record_run (lab_t *lab, const message_t *m)
+{
+	cs_str_t id = wire_header (m, "Request-Attempt");
+	pthread_mutex_lock (&lock);
+	if (lab->n_arrivals < MAX_ARRIVALS) {
+		arrival_t *a = &lab->arrivals[lab->n_arrivals++];
+		snprintf (a->id, sizeof a->id, "%.*s", CS_STR_ARG (id));
+		cs_buf_add (&a->head, cs_buf_str (&m->head));
+	}
+	pthread_mutex_unlock (&lock);
+}
+
+static bool
+answer (const lab_t *lab, int fd, const message_t *m)
+{
+	cs_buf_t out = {0};
+	cs_str_t id = wire_header (m, "Request-Attempt");
+	if (!cs_str_is (wire_header (m, "Expected-Instance"), "i-1")) {
+		cs_buf_addz (&out, "HTTP/1.1 421 x\r\nInstance-Identifier: i-1\r\n"
+				   "Content-Length: 0\r\n\r\n");
+	} else {
+		cs_buf_printf (&out,
+			       "HTTP/1.1 200 OK\r\nRequest-Attempt: %.*s\r\n"
+			       "Response-Signature: s\r\nServer-Load: 1,0,16\r\n",
+			       CS_STR_ARG (id));
+		for (int i = 0; i < lab->n_answer_lines; i++)
+			cs_buf_printf (&out, "X-Detail-%02d: %040d\r\n", i, i);
+		cs_buf_addz (&out, "Content-Length: 5\r\n\r\nhello");
+	}
+	bool sent = wire_send (fd, cs_buf_str (&out));
+	cs_buf_finish (&out);
+	return sent;
+}
+
+static bool
+serve (lab_t *lab, int fd, const message_t *m)
+{
+	if (!is_sound (cs_buf_str (&m->head)))
+		return wire_send (fd, cs_str ("HTTP/1.1 400 x\r\nContent-Length: 0\r\n\r\n"));
+	if (cs_str_is (wire_header (m, "Expected-Instance"), "i-1"))
+		record_run (lab, m);
+	return answer (lab, fd, m);
+}
+
+static void *
+serve_connection (void *data)
+{
+	client_t *client = data;
+	connection_t c = {.fd = client->fd};
+	message_t m = {0};
+	while (wire_read (&c, &m, true) && serve (client->lab, client->fd, &m))
+		;
+	lab_close (&c);
+	wire_message_finish (&m);
+	free (client);
+	return NULL;
+}
+
+static void *
+accept_connections (void *data)
+{
+	lab_t *lab = data;
+	int listener = wire_listen (&lab->back_end_port);
+	for (;;) {
+		pthread_t thread;
+		int fd = accept4 (listener, NULL, NULL, SOCK_CLOEXEC);
+		if (fd < 0)
+			return NULL;
+		client_t *client = calloc (1, sizeof *client);
+		*client = (client_t){lab, fd};
+		pthread_create (&thread, NULL, serve_connection, client);
+		pthread_detach (thread);
+	}
+}
+
+/* Writes the back end's entry at each heartbeat. */
+static void *
+keep_listed (void *data)
+{
+	lab_t *lab = data;
+	struct timespec now;
+	clock_gettime (CLOCK_REALTIME, &now);
+	for (int sequence = 1;; sequence++) {
+		cs_buf_t entry = {0};
+		cs_buf_printf (&entry,
+			       "{\"Service\":\"plain\",\"Address\":\"127.0.0.1:%u\",\"Zone\":\"z\","
+			       "\"Version\":\"v1\",\"Slots\":16,\"State\":\"ready\","
+			       "\"ColdRemainingMs\":0,\"Sequence\":%d,\"born\":%lld}",
+			       lab->back_end_port, sequence, (long long)now.tv_sec * 1000);
+		store_put (lab->store, "keyed.servers", cs_str ("i-1"), cs_buf_str (&entry));
+		cs_buf_finish (&entry);
+		wire_sleep_ms (HEARTBEAT_MS);
+	}
+	return NULL;
+}
+
+static bool
+write_settings (const lab_t *lab, const char *path)
+{
+	FILE *f = fopen (path, "w");
+	if (!f)
+		return false;
+	fprintf (f,
+		 "{\"Node\":\"d1\",\"Zone\":\"z\",\"IpAddress\":\"%s\",\"HeartbeatMs\":%d,"
+		 "\"Bootstrap\":true,\"Listen\":{\"Front\":\"%s:%d\",\"Ready\":\"%s:%d\"},"
+		 "\"InternalPorts\":[17340,17355],"
+		 "\"Limits\":{\"FileDescriptors\":2870,\"LinkMbps\":700,\"MemoryMb\":182},"
+		 "\"Bounds\":{\"StabilityWindowMs\":%d,\"DrainMs\":2000,\"GracePeriodS\":8,"
+		 "\"ConfigurationMs\":2000,\"RevocationMs\":5000,\"RetryBudgetRatio\":0.2,"
+		 "\"RetryBudgetSlack\":302,\"BudgetWindowS\":10,\"StallMs\":4000},"
+		 "\"Platform\":{\"Address\":\"127.0.0.1:%u\",\"MinLifetimeMs\":1000}}\n",
+		 lab->ip, HEARTBEAT_MS, lab->ip, CALLERS_PORT, lab->ip, READY_PORT, STABILITY_MS,
+		 lab->store_port);
+	return fclose (f) == 0;
+}
+
+static void
+start_daemon (lab_t *lab, const char *program)
+{
+	char settings[96], log[96], variable[128];
+	char *const environment[] = {variable, NULL};
+	char *const arguments[] = {(char *)(uintptr_t)program, "--hosted", NULL};
+	snprintf (settings, sizeof settings, "%s/settings.json", lab->directory);
+	snprintf (log, sizeof log, "%s/log", lab->directory);
+	snprintf (variable, sizeof variable, "CORNELSPINDLE_SETTINGS=%s", settings);
+	if (!write_settings (lab, settings))
+		return;
+	lab->daemon = fork ();
+	if (lab->daemon)
+		return;
+	int fd = open (log, O_WRONLY | O_CREAT | O_APPEND, 0644);
+	dup2 (fd, STDOUT_FILENO);
+	dup2 (fd, STDERR_FILENO);
+	execve (program, arguments, environment);
+	_exit (127);
+}
+
+static bool
+is_ready (const lab_t *lab)
+{
+	connection_t c = {.fd = wire_connect (lab->ip, READY_PORT, 1000)};
+	message_t m = {0};
+	bool ready = c.fd >= 0 &&
+		     wire_send (c.fd, cs_str ("GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n")) &&
+		     wire_read (&c, &m, false) && m.status == 200;
+	lab_close (&c);
+	wire_message_finish (&m);
+	return ready;
+}
+
+bool
+lab_start (lab_t *lab, const char *program, const char *record, const char *config)
+{
+	pthread_t thread;
+	int64_t until_ms = wire_now_ms () + READY_MS;
+	int net = getpid () % 60000;
+	signal (SIGPIPE, SIG_IGN);
+	lab->record = fopen (record, "w");
+	snprintf (lab->directory, sizeof lab->directory, "/tmp/review-2.XXXXXX");
+	snprintf (lab->ip, sizeof lab->ip, "127.%d.%d.1", 1 + net / 250, 1 + net % 250);
+	if (!lab->record || !mkdtemp (lab->directory))
+		return false;
+	lab->store = store_start (1, &lab->store_port);
+	store_put (lab->store, "keyed.op", cs_str ("config"), cs_str (config));
+	pthread_create (&thread, NULL, accept_connections, lab);
+	while (!lab->back_end_port)
+		wire_sleep_ms (1);
+	pthread_create (&thread, NULL, keep_listed, lab);
+	start_daemon (lab, program);
+	while (lab->daemon > 0 && !is_ready (lab) && wire_now_ms () < until_ms)
+		wire_sleep_ms (TICK_MS);
+	if (lab->daemon <= 0 || !is_ready (lab))
+		return false;
+	wire_sleep_ms (STABILITY_MS + HEARTBEAT_MS);
+	return true;
+}
+
+void
+lab_finish (lab_t *lab)
+{
+	int64_t until_ms = wire_now_ms () + STOP_MS;
+	if (lab->daemon > 0) {
+		kill (lab->daemon, SIGTERM);
+		while (!waitpid (lab->daemon, NULL, WNOHANG)) {
+			if (wire_now_ms () >= until_ms)
+				kill (lab->daemon, SIGKILL);
+			wire_sleep_ms (TICK_MS);
+		}
+	}
+	if (lab->record)
+		fclose (lab->record);
+}
+
+connection_t
+lab_connect (const lab_t *lab, uint32_t timeout_ms)
+{
+	return (connection_t){.fd = wire_connect (lab->ip, CALLERS_PORT, timeout_ms)};
+}
+
+bool
+lab_send (lab_t *lab, connection_t *c, const char *id, const char *target, const char *lines,
+	  int deadline_ms)
+{
+	cs_buf_t out = {0};
+	cs_buf_printf (&out,
+		       "GET %s HTTP/1.1\r\nHost: h.example\r\nRequest-Attempt: %s\r\n"
+		       "Deadline-Remaining: %d\r\n%s\r\n",
+		       target, id, deadline_ms, lines);
+	bool sent = c->fd >= 0 && wire_send (c->fd, cs_buf_str (&out));
+	fprintf (lab->record, "sent %s: head of %zu bytes, GET %.60s\n", id, out.n, target);
+	cs_buf_finish (&out);
+	return sent;
+}
+
+const arrival_t *
+lab_find (lab_t *lab, const char *id)
+{
+	const arrival_t *found = NULL;
+	pthread_mutex_lock (&lock);
+	for (int i = 0; i < lab->n_arrivals && !found; i++)
+		if (!strcmp (lab->arrivals[i].id, id))
+			found = &lab->arrivals[i];
+	pthread_mutex_unlock (&lock);
+	return found;
+}
+
+bool
+lab_wait (const connection_t *c, int64_t ms)
+{
+	struct pollfd p = {.fd = c->fd, .events = POLLIN};
+	return poll (&p, 1, (int)ms) > 0;
+}
+
+void
+lab_close (connection_t *c)
+{
+	if (c->fd >= 0)
+		close (c->fd);
+	c->fd = -1;
+	cs_buf_finish (&c->in);
+}
