review: a foreign entry's key ends the head of requests

Cause: the key of an entry goes into Expected-Instance unchecked; with a line end in it a back end runs requests without body and tenant.

--- a/review/stand-ins-2/edge_cases.c
+++ b/review/stand-ins-2/edge_cases.c
@@ -31,7 +31,10 @@
 	"\"Public\":true},"
 	"{\"Name\":\"once\",\"Host\":\"h.example\",\"PathPrefix\":\"/once/\",\"Kind\":\"unsafe\","
 	"\"TimeoutMs\":2000,\"TargetLatencyMs\":300,\"Attempts\":1,\"Service\":\"plain\","
-	"\"Public\":true}],"
+	"\"Public\":true},"
+	"{\"Name\":\"book\",\"Host\":\"h.example\",\"PathPrefix\":\"/book/\",\"Kind\":\"unsafe\","
+	"\"TimeoutMs\":2000,\"TargetLatencyMs\":300,\"Attempts\":1,\"Service\":\"plain\","
+	"\"Public\":false}],"
 	"\"Services\":[{\"Name\":\"plain\",\"HealthCheckPath\":\"/health\","
 	"\"ConnectionLimit\":244}],"
 	"\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":4194304,"
@@ -163,6 +166,27 @@
 	return n_lost > MAX_LOST ? BROKEN : HELD;
 }
 
+/* One request, while no other caller is there. True if nothing has come of an answer LATE_MS behind
+ * the route's time-out. */
+static bool
+is_unanswered (lab_t *lab, int number, const char *target)
+{
+	enum {
+		WAIT_MS = 4000 /* the caller's deadline */
+	};
+	char id[40];
+	connection_t c = lab_connect (lab, WAIT_MS);
+	snprintf (id, sizeof id, "request-%d", number);
+	lab_send (lab, &c, id, target, "", WAIT_MS);
+	bool unanswered = !lab_wait (&c, TIMEOUT_MS + LATE_MS);
+	bool came = !unanswered || lab_wait (&c, WAIT_MS - TIMEOUT_MS - LATE_MS);
+	fprintf (lab->record, "%s: %s %d ms behind the sending, %s by its deadline of %d ms\n", id,
+		 unanswered ? "no answer" : "answered", TIMEOUT_MS + LATE_MS,
+		 came ? "answered" : "no answer", WAIT_MS);
+	lab_close (&c);
+	return unanswered;
+}
+
 static int
 play_unanswered (lab_t *lab, bool trouble)
 {
@@ -170,38 +194,52 @@
 		REQUESTS = 12,
 		MANY = 800,
 		FEW = 80,
-		WAIT_MS = 8000,
 		LEAST = 8
 	};
 	static char target[MAX_TARGET_BYTES];
-	connection_t c[REQUESTS];
-	int n_late = 0, n_long = 0;
+	int n = 0;
 	make_target (target, "/open/x", trouble ? MANY : FEW);
-	for (int i = 0; i < REQUESTS; i++) {
-		char id[40];
-		snprintf (id, sizeof id, "request-%d", i);
-		c[i] = lab_connect (lab, TIMEOUT_MS);
-		lab_send (lab, &c[i], id, target, "", WAIT_MS);
-	}
-	int64_t sent_ms = wire_now_ms ();
-	bool open[REQUESTS];
-	for (int i = 0; i < REQUESTS; i++) {
-		int64_t left_ms = sent_ms + TIMEOUT_MS + LATE_MS - wire_now_ms ();
-		open[i] = !lab_wait (&c[i], left_ms > 0 ? left_ms : 0);
-	}
-	for (int i = 0; i < REQUESTS; i++) {
-		int64_t left_ms = sent_ms + WAIT_MS - wire_now_ms ();
-		bool came = lab_wait (&c[i], left_ms > 0 ? left_ms : 0);
-		fprintf (lab->record,
-			 "request-%d: %s %d ms behind the sending, %s by its deadline\n", i,
-			 open[i] ? "no answer" : "answered", TIMEOUT_MS + LATE_MS,
-			 came ? "answered" : "no answer");
-		n_long += open[i];
-		n_late += open[i];
-		lab_close (&c[i]);
-	}
-	fprintf (lab->record, "unanswered: %d of %d\n", n_late, REQUESTS);
-	return n_late >= LEAST && 4 * n_late > n_long ? BROKEN : HELD;
+	for (int i = 0; i < REQUESTS; i++)
+		n += is_unanswered (lab, i, target);
+	fprintf (lab->record, "unanswered: %d of %d\n", n, REQUESTS);
+	return n >= LEAST ? BROKEN : HELD;
+}
+
+/* One request; true if it was run without its body or its tenant. */
+static bool
+is_changed (lab_t *lab, int number)
+{
+	static const char body[] = "plot=17&from=2026-12-07&until=2026-12-09";
+	char id[40];
+	connection_t c = lab_connect (lab, ANSWER_MS);
+	snprintf (id, sizeof id, "book-%d", number);
+	lab_post (lab, &c, id, "/book/x", "X-Api-Key: key-of-alpha\r\n", DEADLINE_MS, body);
+	int status = read_status (&c);
+	const arrival_t *a = lab_find (lab, id);
+	lab_close (&c);
+	bool has_body = a && cs_str_is (cs_buf_str (&a->body), body);
+	bool has_tenant = a && strstr (a->head.p, "\r\nTenant: alpha\r\n");
+	fprintf (lab->record, "answered %s: %d, %s%s%s\n", id, status, a ? "run" : "not run",
+		 a && !has_body ? " without its body" : "", a && !has_tenant ? " and tenant" : "");
+	return a && !(has_body && has_tenant);
+}
+
+static int
+play_foreign_entry (lab_t *lab, bool trouble)
+{
+	enum {
+		REQUESTS = 30,
+		LISTED_MS = 2000
+	};
+	int n = 0;
+	lab->foreign_key = trouble ? "i-1\r\n" : NULL;
+	wire_sleep_ms (LISTED_MS);
+	for (int i = 0; i < REQUESTS; i++)
+		n += is_changed (lab, i);
+	fprintf (lab->record, "run without body or tenant: %d of %d\n", n, REQUESTS);
+	if (!lab->n_arrivals && !trouble)
+		return CANNOT_RUN;
+	return n ? BROKEN : HELD;
 }
 
 static const struct {
@@ -211,6 +249,7 @@
 	{"forged-tenant", play_forged_tenant},
 	{"run-and-closed", play_run_and_closed},
 	{"unanswered", play_unanswered},
+	{"foreign-entry", play_foreign_entry},
 };
 
 int
--- a/review/stand-ins-2/lab.c
+++ b/review/stand-ins-2/lab.c
@@ -36,11 +36,15 @@
 	return name.n > 0;
 }
 
-/* False if a header line is not NAME: VALUE with a sound name. */
+/* False if the request line is none, or a header line is not NAME: VALUE with a sound name. */
 static bool
 is_sound (cs_str_t head)
 {
-	cs_str_split (&head, '\n'); /* the request line */
+	static const char version[] = "HTTP/1.1\r";
+	cs_str_t first = cs_str_split (&head, '\n');
+	size_t n = strlen (version);
+	if (first.n < n || memcmp (first.p + first.n - n, version, n) != 0)
+		return false;
 	while (head.n) {
 		cs_str_t line = cs_str_split (&head, '\n');
 		if (!line.n || line.p[0] == '\r')
@@ -60,6 +64,7 @@
 		arrival_t *a = &lab->arrivals[lab->n_arrivals++];
 		snprintf (a->id, sizeof a->id, "%.*s", CS_STR_ARG (id));
 		cs_buf_add (&a->head, cs_buf_str (&m->head));
+		cs_buf_add (&a->body, cs_buf_str (&m->body));
 	}
 	pthread_mutex_unlock (&lock);
 }
@@ -89,8 +94,12 @@
 static bool
 serve (lab_t *lab, int fd, const message_t *m)
 {
-	if (!is_sound (cs_buf_str (&m->head)))
-		return wire_send (fd, cs_str ("HTTP/1.1 400 x\r\nContent-Length: 0\r\n\r\n"));
+	if (!is_sound (cs_buf_str (&m->head))) {
+		fprintf (lab->record, "at the back end, no request: \"%.40s...\"\n", m->head.p);
+		wire_send (fd, cs_str ("HTTP/1.1 400 x\r\nNot-Executed: 1\r\n"
+				       "Content-Length: 0\r\n\r\n"));
+		return false;
+	}
 	if (cs_str_is (wire_header (m, "Expected-Instance"), "i-1"))
 		record_run (lab, m);
 	return answer (lab, fd, m);
@@ -142,6 +151,9 @@
 			       "\"ColdRemainingMs\":0,\"Sequence\":%d,\"born\":%lld}",
 			       lab->back_end_port, sequence, (long long)now.tv_sec * 1000);
 		store_put (lab->store, "keyed.servers", cs_str ("i-1"), cs_buf_str (&entry));
+		if (lab->foreign_key)
+			store_put (lab->store, "keyed.servers", cs_str (lab->foreign_key),
+				   cs_buf_str (&entry));
 		cs_buf_finish (&entry);
 		wire_sleep_ms (HEARTBEAT_MS);
 	}
@@ -251,21 +263,38 @@
 	return (connection_t){.fd = wire_connect (lab->ip, CALLERS_PORT, timeout_ms)};
 }
 
-bool
-lab_send (lab_t *lab, connection_t *c, const char *id, const char *target, const char *lines,
-	  int deadline_ms)
+static bool
+send_request (lab_t *lab, connection_t *c, const char *id, const char *target, const char *lines,
+	      int deadline_ms, const char *body)
 {
 	cs_buf_t out = {0};
 	cs_buf_printf (&out,
-		       "GET %s HTTP/1.1\r\nHost: h.example\r\nRequest-Attempt: %s\r\n"
-		       "Deadline-Remaining: %d\r\n%s\r\n",
-		       target, id, deadline_ms, lines);
+		       "%s %s HTTP/1.1\r\nHost: h.example\r\nRequest-Attempt: %s\r\n"
+		       "Deadline-Remaining: %d\r\n%s",
+		       body ? "POST" : "GET", target, id, deadline_ms, lines);
+	if (body)
+		cs_buf_printf (&out, "Content-Length: %zu\r\n", strlen (body));
+	cs_buf_printf (&out, "\r\n%s", body ? body : "");
 	bool sent = c->fd >= 0 && wire_send (c->fd, cs_buf_str (&out));
-	fprintf (lab->record, "sent %s: head of %zu bytes, GET %.60s\n", id, out.n, target);
+	fprintf (lab->record, "sent %s: %zu bytes, %.60s\n", id, out.n, target);
 	cs_buf_finish (&out);
 	return sent;
 }
 
+bool
+lab_send (lab_t *lab, connection_t *c, const char *id, const char *target, const char *lines,
+	  int deadline_ms)
+{
+	return send_request (lab, c, id, target, lines, deadline_ms, NULL);
+}
+
+bool
+lab_post (lab_t *lab, connection_t *c, const char *id, const char *target, const char *lines,
+	  int deadline_ms, const char *body)
+{
+	return send_request (lab, c, id, target, lines, deadline_ms, body);
+}
+
 const arrival_t *
 lab_find (lab_t *lab, const char *id)
 {
--- a/review/stand-ins-2/lab.h
+++ b/review/stand-ins-2/lab.h
@@ -17,6 +17,7 @@
 typedef struct {
 	char id[40];
 	cs_buf_t head; /* as it came */
+	cs_buf_t body;
 } arrival_t;
 
 typedef struct {
@@ -27,7 +28,9 @@
 	pid_t daemon;
 	FILE *record;
 	uint16_t back_end_port;
-	int n_answer_lines; /* header lines of the back end's answers, beside the usual ones */
+	const char
+		*foreign_key; /* under which another writer lists the back end; NULL: none does */
+	int n_answer_lines;   /* header lines of the back end's answers, beside the usual ones */
 	arrival_t arrivals[MAX_ARRIVALS];
 	int n_arrivals;
 } lab_t;
@@ -38,9 +41,12 @@
 void lab_finish (lab_t *lab);
 /* A new connection to the daemon. */
 connection_t lab_connect (const lab_t *lab, uint32_t timeout_ms);
-/* Sends the request; lines are header lines beside Host, Request-Attempt and Deadline-Remaining. */
+/* Sends a GET; lines are header lines beside Host, Request-Attempt and Deadline-Remaining. */
 bool lab_send (lab_t *lab, connection_t *c, const char *id, const char *target, const char *lines,
 	       int deadline_ms);
+/* Sends a POST with the body. */
+bool lab_post (lab_t *lab, connection_t *c, const char *id, const char *target, const char *lines,
+	       int deadline_ms, const char *body);
 /* The request with the id as the back end ran it; NULL: it did not. */
 const arrival_t *lab_find (lab_t *lab, const char *id);
 /* True once bytes of an answer, or the end of the connection, have come within ms. */
